Serve callers on the users' platform from one program, with no sidecar between

Cause: nothing of nutmegslip ran on the platform; no client got an answer. Change: decisions for direct serving as one reducer (nutmegslip_decisions.direct), a gevent shell with httptools for callers and upstreams (nutmegslip_entry.direct), HTTP pieces shared by callers, upstreams and the store (nutmegslip_runtime.http1), the adapter in platform/, the deploy file and its settings template. Before: no answer.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # VENV may name an environment that is shared between work trees.
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-SOURCES := $(wildcard packages/*/src)
+SOURCES := $(wildcard packages/*/src) platform/src
 space := $(subst ,, )
 export PYTHONPATH := $(subst $(space),:,$(SOURCES)):$(CURDIR)
 export PYTHONHASHSEED := 0
@@ -34,7 +34,7 @@
 	$(PYTHON) -m bench.demo
 
 lock: setup
-	cd requirements && for name in runtime dev; do \
+	cd requirements && for name in platform runtime dev; do \
 	  ../$(VENV)/bin/pip-compile --quiet --generate-hashes --allow-unsafe \
 	    --no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
 	    --no-header --no-annotate --strip-extras -o $$name.txt $$name.in; done
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
@@ -0,0 +1,47 @@
+"""Bound repeats at a service over all entries.
+
+Answers the pattern in which an upstream or a whole service fails and each failure
+brings a repeat: repeats stay a fixed part of first arrivals, whatever fails.
+"""
+
+from nutmegslip_decisions.direct._state import (
+    BUDGET_BUCKET_MS,
+    ServiceLoad,
+    State,
+)
+from nutmegslip_decisions.direct._windows import Window
+from nutmegslip_decisions.model import Millis
+
+FIRST_HOLD_MS = 200.0  # until this entry has measured a service
+
+
+def load_of(state: State, service: str) -> ServiceLoad:
+    """Return the measured load of a service."""
+    found = state.loads.get(service)
+    if found is not None:
+        return found
+    window = Window(BUDGET_BUCKET_MS, state.options.budget_window_ms)
+    return ServiceLoad(window, window, FIRST_HOLD_MS)
+
+
+def count_arrival(state: State, service: str, now_ms: Millis) -> State:
+    """Count a caller's request for a service."""
+    load = load_of(state, service)
+    changed = load._replace(arrivals=load.arrivals.add(now_ms))
+    return state._replace(loads=state.loads.set(service, changed))
+
+
+def count_repeat(state: State, service: str, now_ms: Millis) -> State:
+    """Count an attempt beyond the first of a request."""
+    load = load_of(state, service)
+    changed = load._replace(repeats=load.repeats.add(now_ms))
+    return state._replace(loads=state.loads.set(service, changed))
+
+
+def may_repeat(state: State, service: str, now_ms: Millis) -> bool:
+    """Return whether this entry's share of the budget allows one more repeat."""
+    load = load_of(state, service)
+    options = state.options
+    share = options.budget_slack / state.entries()
+    allowed = options.budget_ratio * load.arrivals.count(now_ms) + share
+    return load.repeats.count(now_ms) + 1 <= allowed
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -0,0 +1,103 @@
+"""Choose the upstream of a request.
+
+Answers the pattern in which several entries send to the same few upstreams, whose
+slots are the scarce thing: the least loaded by what all entries have in hand, with
+cold upstreams held to their rate and failing ones avoided for a while.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from nutmegslip_decisions.direct._state import (
+    Standing,
+    State,
+    in_hand_elsewhere,
+)
+from nutmegslip_decisions.direct._types import Request, Service, Upstream
+from nutmegslip_decisions.model import Millis
+
+
+class Room(NamedTuple):
+    """Tell what an upstream has in hand over all entries, and its slots."""
+
+    upstream: Upstream
+    in_hand: int
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether every slot is taken."""
+        return self.in_hand >= self.upstream.slots
+
+
+def choose(state: State, request: Request, now_ms: Millis) -> Upstream | None:
+    """Return the least loaded upstream with a free slot, or None to wait."""
+    rooms = [
+        room
+        for room in rooms_of(state, request.service, now_ms)
+        if room.upstream.id not in request.tried and not room.is_full
+    ]
+    if not rooms:
+        return None
+    trusted = [room for room in rooms if not _avoided(state, room.upstream, now_ms)]
+    best = min(trusted or rooms, key=lambda room: _rank(room, request))
+    return best.upstream
+
+
+def rooms_of(state: State, service: str, now_ms: Millis) -> tuple[Room, ...]:
+    """Return the upstreams of a service that may be sent a request now."""
+    cold_limit = cold_share(state, service)
+    return tuple(
+        Room(upstream, in_hand)
+        for upstream, standing in _usable(state, service)
+        if cold_limit is None or standing.sent.count(now_ms) < cold_limit
+        for in_hand in (
+            standing.in_hand + in_hand_elsewhere(state, upstream.id, now_ms),
+        )
+    )
+
+
+def slots_of(state: State, service: str) -> int:
+    """Return the slots of all upstreams that may be used."""
+    return sum(upstream.slots for upstream, _ in _usable(state, service))
+
+
+def cold_share(state: State, service: str) -> int | None:
+    """Return this entry's share of what a cold upstream bears in a second.
+
+    None where the service has no cold start. The share holds for warm upstreams
+    too, since one may turn cold without notice.
+    """
+    published = _service(state, service)
+    if published is None or published.cold_per_s <= 0:
+        return None
+    options = state.options
+    bound = published.cold_per_s * options.cold_multiplier + options.cold_slack
+    return max(1, int(bound / state.entries()))
+
+
+def _usable(state: State, service: str) -> Iterable[tuple[Upstream, Standing]]:
+    for upstream_id in state.by_service.get(service, ()):
+        upstream = state.upstreams[upstream_id]
+        if upstream.leaving or upstream.zone in state.zones_out:
+            continue
+        if upstream.rank is not None and not upstream.rank.is_open:
+            continue
+        yield upstream, state.standing(upstream_id)
+
+
+def _service(state: State, service: str) -> Service | None:
+    return state.configuration and state.configuration.services.get(service)
+
+
+def _avoided(state: State, upstream: Upstream, now_ms: Millis) -> bool:
+    return state.standing(upstream.id).avoid_until_ms > now_ms
+
+
+def _rank(room: Room, request: Request) -> tuple[float, int]:
+    # Equal loads are spread by a hash, so that entries do not pick alike.
+    spread = xxhash.xxh3_64_intdigest(
+        f"{request.request_id}{room.upstream.id}".encode()
+    )
+    return room.in_hand / room.upstream.slots, spread
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -0,0 +1,220 @@
+"""Name what happens to an entry that sends directly, and what it must do."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from immutables import Map
+
+from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._types import (
+    CallerRequest,
+    Configuration,
+    Request,
+    Upstream,
+)
+from nutmegslip_decisions.model import Millis
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPublished:
+    """Tell that a version of the configuration was read."""
+
+    now_ms: Millis
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamPublished:
+    """Tell that an upstream was listed, or that its listing changed."""
+
+    now_ms: Millis
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRemoved:
+    """Tell that an upstream is no longer listed."""
+
+    now_ms: Millis
+    upstream_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ZonesOut:
+    """Tell which availability zones the operator has taken out."""
+
+    now_ms: Millis
+    zones: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class ListingRead:
+    """Tell that the whole list was read, after a start or a gap in the history."""
+
+    now_ms: Millis
+    upstreams: tuple[Upstream, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLost:
+    """Tell that the store gives no answers."""
+
+    now_ms: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReached:
+    """Tell that the store answers again."""
+
+    now_ms: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class OptionsChanged:
+    """Tell that the settings of this process have changed."""
+
+    now_ms: Millis
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReported:
+    """Tell what another entry has in hand, by upstream."""
+
+    now_ms: Millis
+    peer: str
+    in_hand: Map[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """Tell that a caller's request was read whole."""
+
+    now_ms: Millis
+    request: CallerRequest
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request reached the upstream."""
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The upstream says that it has not run the request.
+
+    ``misdirected`` is whether another upstream has the address now.
+    ``at_fault`` names the upstream to blame, empty where it is the one asked.
+    """
+
+    misdirected: bool = False
+    at_fault: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The attempt ended without a whole answer; the request may have run.
+
+    ``silent`` is whether the upstream was given up on for its silence.
+    """
+
+    silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Errored:
+    """The upstream ran the request and answered with a failure of its own."""
+
+
+Failure = NotSent | Declined | Broken | Errored
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """Tell how an attempt failed.
+
+    ``streaming`` is whether the caller has been sent the beginning of a stream.
+    """
+
+    now_ms: Millis
+    ticket: int
+    failure: Failure
+    streaming: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """Tell that a request has its final answer, or that its caller has left."""
+
+    now_ms: Millis
+    ticket: int
+    answered: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Let time pass."""
+
+    now_ms: Millis
+
+
+Event = (
+    ConfigurationPublished
+    | UpstreamPublished
+    | UpstreamRemoved
+    | ZonesOut
+    | ListingRead
+    | StoreLost
+    | StoreReached
+    | OptionsChanged
+    | PeerReported
+    | Arrived
+    | AttemptFailed
+    | Ended
+    | Tick
+)
+
+
+class RefusalKind(StrEnum):
+    """Say why a request gets no answer from an upstream."""
+
+    NO_CONFIGURATION = "no-configuration"
+    NO_ROUTE = "no-route"
+    UNKNOWN_KEY = "unknown-key"
+    NO_UPSTREAM = "no-upstream"
+    OVERLOADED = "overloaded"
+    DECLINED = "declined"
+    DEADLINE = "deadline"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a request to an upstream."""
+
+    request: Request
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer a request with a refusal at once.
+
+    ``ran`` is whether an upstream may have run it. ``retry_after_ms`` is when
+    the caller may best return, 0 where returning does not help.
+    """
+
+    ticket: int
+    kind: RefusalKind
+    ran: bool
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverFailure:
+    """Pass the upstream's own failure on as the final answer."""
+
+    ticket: int
+
+
+Effect = Send | Refuse | DeliverFailure
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
@@ -0,0 +1,90 @@
+"""Take in what the platform publishes."""
+
+from collections.abc import Iterable
+
+from immutables import Map
+
+from nutmegslip_decisions.direct._routes import RouteTable
+from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._types import Configuration, Upstream
+from nutmegslip_decisions.model import Millis
+
+
+def with_configuration(state: State, configuration: Configuration) -> State:
+    """Put a version in force, unless it is older than the one in force."""
+    current = state.configuration
+    if current is not None and configuration.version <= current.version:
+        return state
+    table = RouteTable(configuration)
+    return state._replace(configuration=configuration, table=table)
+
+
+def with_upstream(state: State, upstream: Upstream) -> State:
+    """Put an upstream into the list; a new life of it starts with no standing."""
+    old = state.upstreams.get(upstream.id)
+    upstreams = state.upstreams.set(upstream.id, upstream)
+    lapsing, standings = state.lapsing, state.standings
+    if upstream.id in lapsing:
+        lapsing = lapsing.delete(upstream.id)
+    if old is not None and old.born_ms != upstream.born_ms and old.id in standings:
+        fresh = standings[old.id]._replace(failures=0, avoid_until_ms=0)
+        standings = standings.set(old.id, fresh)
+    return _indexed(
+        state._replace(upstreams=upstreams, lapsing=lapsing, standings=standings),
+        {upstream.service} | ({old.service} if old else set()),
+    )
+
+
+def without_upstream(state: State, upstream_id: str, now_ms: Millis) -> State:
+    """Take an upstream off the list; requests in hand there go on.
+
+    One that lapsed while the store was away may come back within the rejoin time
+    and stays in use until then.
+    """
+    if upstream_id not in state.upstreams:
+        return state
+    if state.store_lost or now_ms < state.lapse_until_ms:
+        until_ms = max(state.lapse_until_ms, now_ms)
+        return state._replace(lapsing=state.lapsing.set(upstream_id, until_ms))
+    return _removed(state, upstream_id)
+
+
+def with_listing(
+    state: State, upstreams: tuple[Upstream, ...], now_ms: Millis
+) -> State:
+    """Replace the list."""
+    listed = {upstream.id for upstream in upstreams}
+    for upstream in upstreams:
+        state = with_upstream(state, upstream)
+    for upstream_id in [name for name in state.upstreams if name not in listed]:
+        state = without_upstream(state, upstream_id, now_ms)
+    return state
+
+
+def without_lapsed(state: State, now_ms: Millis) -> State:
+    """Take off the upstreams that did not come back in time."""
+    for upstream_id, until_ms in state.lapsing.items():
+        if until_ms <= now_ms:
+            state = _removed(state, upstream_id)
+    return state
+
+
+def _removed(state: State, upstream_id: str) -> State:
+    old = state.upstreams[upstream_id]
+    lapsing = state.lapsing
+    if upstream_id in lapsing:
+        lapsing = lapsing.delete(upstream_id)
+    upstreams = state.upstreams.delete(upstream_id)
+    return _indexed(state._replace(upstreams=upstreams, lapsing=lapsing), {old.service})
+
+
+def _indexed(state: State, services: Iterable[str]) -> State:
+    by_service: Map[str, tuple[str, ...]] = state.by_service
+    for service in services:
+        ids = sorted(
+            upstream.id
+            for upstream in state.upstreams.values()
+            if upstream.service == service
+        )
+        by_service = by_service.set(service, tuple(ids))
+    return state._replace(by_service=by_service)
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -0,0 +1,76 @@
+"""Hold what an entry that sends directly knows and has in hand."""
+
+from typing import NamedTuple
+
+from immutables import Map
+
+from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._routes import RouteTable
+from nutmegslip_decisions.direct._types import Configuration, Request, Upstream
+from nutmegslip_decisions.direct._windows import Window
+from nutmegslip_decisions.model import Millis
+
+COLD_WINDOW_MS = 1_000  # the cold bound is stated for any second
+COLD_BUCKET_MS = 50  # the bound is kept to within a twentieth of its window
+BUDGET_BUCKET_MS = 500
+PEER_FRESH_MS = 1_500  # a peer that is silent for longer counts as stopped
+
+
+class Standing(NamedTuple):
+    """Hold what this entry knows of an upstream from its own attempts."""
+
+    in_hand: int = 0
+    sent: Window = Window(COLD_BUCKET_MS, COLD_WINDOW_MS)
+    failures: int = 0
+    avoid_until_ms: Millis = 0
+
+
+class PeerView(NamedTuple):
+    """Hold what another entry reported last."""
+
+    heard_ms: Millis
+    in_hand: Map[str, int]
+
+
+class ServiceLoad(NamedTuple):
+    """Measure a service: arrivals and repeats in the window, and time in hand."""
+
+    arrivals: Window
+    repeats: Window
+    hold_ms: float
+
+
+class State(NamedTuple):
+    """Hold everything that the reducer decides from."""
+
+    options: Options
+    configuration: Configuration | None = None
+    table: RouteTable | None = None
+    upstreams: Map[str, Upstream] = Map()
+    by_service: Map[str, tuple[str, ...]] = Map()
+    lapsing: Map[str, Millis] = Map()
+    store_lost: bool = False
+    lapse_until_ms: Millis = 0
+    zones_out: frozenset[str] = frozenset()
+    standings: Map[str, Standing] = Map()
+    peers: Map[str, PeerView] = Map()
+    loads: Map[str, ServiceLoad] = Map()
+    requests: Map[int, Request] = Map()
+    waiting: Map[str, tuple[int, ...]] = Map()
+
+    def entries(self) -> int:
+        """Return the count of entries that share the bounds of the fleet."""
+        return max(self.options.entries, len(self.peers) + 1)
+
+    def standing(self, upstream_id: str) -> Standing:
+        """Return what is known of an upstream."""
+        return self.standings.get(upstream_id, Standing())
+
+
+def in_hand_elsewhere(state: State, upstream_id: str, now_ms: Millis) -> int:
+    """Return what other entries reported for an upstream, where that is fresh."""
+    return sum(
+        view.in_hand.get(upstream_id, 0)
+        for view in state.peers.values()
+        if view.heard_ms + PEER_FRESH_MS > now_ms
+    )
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_windows.py
@@ -0,0 +1,29 @@
+"""Count events in sliding windows without keeping each of them."""
+
+from typing import NamedTuple
+
+from nutmegslip_decisions.model import Millis
+
+
+class Window(NamedTuple):
+    """Count events by bucket; ``buckets`` holds (bucket number, count), oldest first."""
+
+    width_ms: int
+    length_ms: int
+    buckets: tuple[tuple[int, int], ...] = ()
+
+    def add(self, now_ms: Millis) -> "Window":
+        """Return the window with one more event, without buckets that have passed."""
+        bucket = now_ms // self.width_ms
+        kept = tuple(pair for pair in self.buckets if pair[0] >= self._oldest(now_ms))
+        if kept and kept[-1][0] == bucket:
+            return self._replace(buckets=(*kept[:-1], (bucket, kept[-1][1] + 1)))
+        return self._replace(buckets=(*kept, (bucket, 1)))
+
+    def count(self, now_ms: Millis) -> int:
+        """Return an upper bound on the events of the last ``length_ms``."""
+        oldest = self._oldest(now_ms)
+        return sum(count for bucket, count in self.buckets if bucket >= oldest)
+
+    def _oldest(self, now_ms: Millis) -> int:
+        return (now_ms - self.length_ms) // self.width_ms
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -0,0 +1,17 @@
+"""Serve callers over HTTP and send to upstreams directly."""
+
+from nutmegslip_entry.direct._dialect import AnswerFields, CallerFields, Dialect
+from nutmegslip_entry.direct._machine import Machine
+from nutmegslip_entry.direct._program import Program
+from nutmegslip_entry.direct._settings import Settings, SettingsFault, read_settings
+
+__all__ = [
+    "AnswerFields",
+    "CallerFields",
+    "Dialect",
+    "Machine",
+    "Program",
+    "Settings",
+    "SettingsFault",
+    "read_settings",
+]
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_journal.py
@@ -0,0 +1,132 @@
+"""Tell which log lines an event is worth."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from nutmegslip_decisions.direct import (
+    AttemptFailed,
+    ConfigurationPublished,
+    DeliverFailure,
+    Effect,
+    Ended,
+    Event,
+    ListingRead,
+    Refuse,
+    Send,
+    State,
+    StoreLost,
+    StoreReached,
+    UpstreamPublished,
+    UpstreamRemoved,
+    ZonesOut,
+)
+
+Value = str | int | float | bool
+
+
+class Line(NamedTuple):
+    """Hold one line before it is written."""
+
+    name: str
+    request: str
+    fields: dict[str, Value]
+
+
+def lines_of(
+    event: Event, before: State, after: State, effects: tuple[Effect, ...]
+) -> Iterator[Line]:
+    """Yield a line for each belief that changed and each decision that was made."""
+    match event:
+        case ConfigurationPublished(_, configuration):
+            if after.configuration is not before.configuration:
+                old = before.configuration
+                yield _line(
+                    "configuration-in-force",
+                    version=configuration.version,
+                    previous=old.version if old else 0,
+                    routes=len(configuration.routes),
+                )
+        case ListingRead(_, upstreams):
+            yield _line("upstreams-listed", count=len(upstreams))
+        case UpstreamPublished(_, upstream):
+            yield _line(
+                "upstream-changed",
+                upstream=upstream.id,
+                service=upstream.service,
+                leaving=upstream.leaving,
+                group_open=upstream.rank is None or upstream.rank.is_open,
+            )
+        case UpstreamRemoved(_, upstream_id):
+            lapsing = upstream_id in after.lapsing
+            yield _line("upstream-removed", upstream=upstream_id, lapsing=lapsing)
+        case ZonesOut(_, zones):
+            if zones != before.zones_out:
+                yield _line("zones-out", zones=",".join(sorted(zones)))
+        case StoreLost():
+            yield _line("store-lost")
+        case StoreReached():
+            yield _line("store-reached")
+        case AttemptFailed(_, ticket, failure):
+            request = before.requests.get(ticket)
+            if request is not None:
+                yield Line(
+                    "direct-attempt-failed",
+                    request.request_id,
+                    {
+                        "upstream": request.upstream,
+                        "failure": type(failure).__name__,
+                        "after_ms": event.now_ms - request.sent_at_ms,
+                        "attempts": request.sends,
+                    },
+                )
+        case Ended(_, ticket, answered):
+            request = before.requests.get(ticket)
+            if request is not None:
+                yield Line(
+                    "request-served" if answered else "caller-left",
+                    request.request_id,
+                    {
+                        "upstream": request.upstream,
+                        "after_ms": event.now_ms - request.arrived_ms,
+                        "attempts": request.sends,
+                    },
+                )
+    yield from (line for effect in effects for line in _decided(effect, before, after))
+
+
+def _decided(effect: Effect, before: State, after: State) -> Iterator[Line]:
+    configuration = after.configuration
+    version = configuration.version if configuration else 0
+    match effect:
+        case Send(request, upstream):
+            yield Line(
+                "request-sent",
+                request.request_id,
+                {
+                    "upstream": upstream.id,
+                    "route": request.route.name,
+                    "version": version,
+                    "in_hand": after.standing(upstream.id).in_hand,
+                    "waited_ms": request.sent_at_ms - request.arrived_ms,
+                    "left_ms": request.deadline_ms - request.sent_at_ms,
+                },
+            )
+        case Refuse(ticket, kind, ran, retry_after_ms):
+            request = before.requests.get(ticket)
+            yield Line(
+                "request-refused",
+                request.request_id if request else "",
+                {
+                    "kind": str(kind),
+                    "ran": ran,
+                    "retry_after_ms": retry_after_ms,
+                    "version": version,
+                },
+            )
+        case DeliverFailure(ticket):
+            request = before.requests.get(ticket)
+            yield Line("failure-delivered", request.request_id if request else "", {})
+
+
+def _line(name: str, **fields: Value) -> Line:
+    return Line(name, "", fields)
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_meters.py
@@ -0,0 +1,57 @@
+"""Count decisions and measure how long callers wait."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from nutmegslip_decisions.direct import State
+
+SECONDS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
+
+
+class Meters:
+    """Hold the metrics of an entry that sends directly."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._events = Counter(
+            "nutmegslip_events", "Events, by name.", ["event"], registry=self.registry
+        )
+        self._took = Histogram(
+            "nutmegslip_request_seconds",
+            "From a whole request to the end of its answer.",
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self._in_hand = Gauge(
+            "nutmegslip_requests_in_hand",
+            "Requests without a final answer.",
+            registry=self.registry,
+        )
+        self._waiting = Gauge(
+            "nutmegslip_requests_waiting",
+            "Requests that wait for a slot.",
+            registry=self.registry,
+        )
+        self._store_calls = Gauge(
+            "nutmegslip_store_calls", "Calls to the store.", registry=self.registry
+        )
+        self._version = Gauge(
+            "nutmegslip_configuration_version",
+            "The version in force.",
+            registry=self.registry,
+        )
+
+    def count(self, event: str) -> None:
+        """Count one event."""
+        self._events.labels(event).inc()
+
+    def took(self, milliseconds: int) -> None:
+        """Measure one served request."""
+        self._took.observe(milliseconds / 1_000)
+
+    def show(self, state: State, store_calls: int) -> None:
+        """Set the gauges from a state."""
+        configuration = state.configuration
+        self._in_hand.set(len(state.requests))
+        self._waiting.set(sum(len(queue) for queue in state.waiting.values()))
+        self._store_calls.set(store_calls)
+        self._version.set(configuration.version if configuration else 0)
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -0,0 +1,92 @@
+"""Tell other entries what this one has in hand, and hear what they have.
+
+Datagrams fit better than connections here: a report that is lost is made good by
+the next one, and none waits behind an older one.
+"""
+
+from collections.abc import Callable
+from itertools import count
+
+import cbor2
+import gevent
+from gevent import socket
+from immutables import Map
+
+from nutmegslip_decisions.direct import PeerReported, load_report
+from nutmegslip_entry.direct._machine import Machine
+
+REPORT_EVERY_MS = 100  # well below the time that a request holds a slot
+REST_EVERY = 5  # an unchanged report is repeated each fifth time, as a heartbeat
+MAX_DATAGRAM_BYTES = 8_192
+PEER_KEPT_MS = 30_000
+
+
+class Peers:
+    """Exchange reports over UDP; peers are found through seeds and each other."""
+
+    def __init__(
+        self,
+        machine: Machine,
+        address: tuple[str, int],
+        seeds: Callable[[], tuple[str, ...]],
+        refused: Callable[[str], None],
+    ) -> None:
+        self._machine = machine
+        self._address = address
+        self._seeds = seeds
+        self._refused = refused
+        self._heard: dict[str, int] = {}
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(address)
+
+    def run(self) -> None:
+        """Send and receive until killed."""
+        gevent.spawn(self._send_reports)
+        while True:
+            try:
+                data, (host, _) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
+                self._refused(f"receiving failed: {error}")
+                gevent.sleep(REPORT_EVERY_MS / 1_000)
+                continue
+            self._hear(host, data)
+
+    def _hear(self, host: str, data: bytes) -> None:
+        now_ms = self._machine.clock()
+        try:
+            in_hand, others = cbor2.loads(data)
+            report = PeerReported(
+                now_ms, host, Map({str(k): int(v) for k, v in in_hand.items()})
+            )
+            others = [str(other) for other in others]
+        except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as error:
+            self._refused(f"a datagram from {host} cannot be read: {error}")
+            return
+        self._heard[host] = now_ms
+        for other in others:
+            self._heard.setdefault(other, now_ms - PEER_KEPT_MS // 2)
+        self._machine.take(report)
+
+    def _send_reports(self) -> None:
+        last = None
+        for number in count():
+            gevent.sleep(REPORT_EVERY_MS / 1_000)
+            report = load_report(self._machine.state)
+            if report == last and number % REST_EVERY:
+                continue
+            last = report
+            data = cbor2.dumps([report, list(self._heard)])
+            for host in self._known():
+                self._send(host, data)
+
+    def _known(self) -> set[str]:
+        oldest_ms = self._machine.clock() - PEER_KEPT_MS
+        self._heard = {h: at for h, at in self._heard.items() if at > oldest_ms}
+        return ({*self._seeds(), *self._heard}) - {self._address[0]}
+
+    def _send(self, host: str, data: bytes) -> None:
+        try:
+            self._socket.sendto(data, (host, self._address[1]))
+        except OSError as error:
+            self._refused(f"sending to {host} failed: {error}")
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -0,0 +1,190 @@
+"""Run an entry that sends directly: callers, store, peers and reducer together."""
+
+import os
+import signal
+from collections.abc import Callable
+from itertools import count
+from typing import Protocol
+
+import gevent
+from gevent.event import Event as Flag
+from gevent.server import StreamServer
+from prometheus_client import generate_latest
+
+from nutmegslip_decisions import direct
+from nutmegslip_decisions.direct import Event, OptionsChanged, RequestLimits, Tick
+from nutmegslip_entry.direct._callers import Caller, Connection
+from nutmegslip_entry.direct._dialect import Dialect
+from nutmegslip_entry.direct._exchange import Exchanges
+from nutmegslip_entry.direct._machine import Machine
+from nutmegslip_entry.direct._meters import Meters
+from nutmegslip_entry.direct._peers import Peers
+from nutmegslip_entry.direct._pool import Pool
+from nutmegslip_entry.direct._settings import Settings, read_settings
+from nutmegslip_runtime.clock import elapsed_ms
+from nutmegslip_runtime.eventlog import PacedLog, make_log
+from nutmegslip_runtime.exits import ExitCode
+from nutmegslip_runtime.http1 import HttpRequest
+
+TICK_S = 0.05  # a waiting request is refused this much late at most
+SECOND_S = 1.0
+BACKLOG = 512
+LEAVE_ROTATION_MS = 2_500  # the balancer asks each second and takes out after two
+STOP_MARGIN_MS = 500  # kept off the grace time, to end before a kill
+TEXT = (b"content-type", b"text/plain; version=0.0.4")
+
+
+class Feed(Protocol):
+    """Read what is published."""
+
+    calls: int
+
+    def run(self) -> None:
+        """Read and watch until killed."""
+
+
+FeedMaker = Callable[[str, Callable[[Event], None], PacedLog], Feed]
+
+
+class Program:
+    """Hold one life of the entry."""
+
+    def __init__(
+        self, file: str, settings: Settings, dialect: Dialect, make_feed: FeedMaker
+    ) -> None:
+        self._file = file
+        self._file_changed_ns = _changed_ns(file)
+        self._settings = settings
+        log = make_log(
+            settings.log_level, settings.host, settings.zone, process="nutmegslip-entry"
+        )
+        self._log = PacedLog(log)
+        self._meters = Meters()
+        self._machine = Machine(settings.options, elapsed_ms, self._log, self._meters)
+        self._pool = Pool(elapsed_ms)
+        self._exchanges = Exchanges(self._machine, dialect, self._pool, count(1))
+        self._feed = make_feed(settings.store, self._machine.take, self._log)
+        self._peers = Peers(
+            self._machine,
+            settings.peers,
+            lambda: self._settings.seeds,
+            lambda reason: self._log.emit("peer-report-refused", reason=reason),
+        )
+        self._connections: set[Connection] = set()
+        self._stopping = False
+        self._stop_asked = Flag()
+
+    def run(self) -> ExitCode:
+        """Run until asked to stop; return whether every request was finished."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._stop_asked.set)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        tasks = [
+            gevent.spawn(self._feed.run),
+            gevent.spawn(self._peers.run),
+            gevent.spawn(self._tick),
+            gevent.spawn(self._each_second),
+        ]
+        callers = self._listen(self._settings.callers, self._serve)
+        self._listen(self._settings.ready, self._serve_ready)
+        self._listen(self._settings.metrics, self._serve_metrics)
+        self._log.emit("process-started")
+        self._log.flush()
+        self._stop_asked.wait()
+        code = self._stop(callers)
+        gevent.killall(tasks)
+        self._log.flush()
+        return code
+
+    def _listen(
+        self,
+        address: tuple[str, int],
+        serve: Callable[[Caller, HttpRequest], None],
+    ) -> StreamServer:
+        def hold(sock, _peer: object) -> None:
+            connection = Connection(
+                sock, serve, self._limits(), lambda: self._stopping, elapsed_ms
+            )
+            self._connections.add(connection)
+            try:
+                connection.run()
+            finally:
+                self._connections.discard(connection)
+
+        server = StreamServer(address, hold, backlog=BACKLOG)
+        server.start()
+        return server
+
+    def _limits(self) -> RequestLimits:
+        configuration = self._machine.state.configuration
+        return configuration.limits if configuration else RequestLimits()
+
+    def _serve(self, caller: Caller, request: HttpRequest) -> None:
+        try:
+            self._exchanges.serve(caller, request)
+        except (OSError, gevent.GreenletExit):
+            raise
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            self._log.fault("request-dropped", error)
+            caller.abort()
+
+    def _serve_ready(self, caller: Caller, _request: HttpRequest) -> None:
+        ready = direct.is_ready(self._machine.state) and not self._stopping
+        caller.answer(200 if ready else 503, [], b"")
+
+    def _serve_metrics(self, caller: Caller, _request: HttpRequest) -> None:
+        self._meters.show(self._machine.state, self._feed.calls)
+        caller.answer(200, [TEXT], generate_latest(self._meters.registry))
+
+    def _tick(self) -> None:
+        while True:
+            gevent.sleep(TICK_S)
+            self._machine.take(Tick(elapsed_ms()))
+
+    def _each_second(self) -> None:
+        while True:
+            gevent.sleep(SECOND_S)
+            self._pool.sweep()
+            self._log.end_second()
+            self._log.flush()
+            if _changed_ns(self._file) != self._file_changed_ns:
+                self._reload()
+
+    def _reload(self) -> None:
+        self._file_changed_ns = _changed_ns(self._file)
+        read = read_settings(self._file)
+        if read.is_error():
+            self._log.emit(
+                "settings-refused",
+                file=self._file,
+                key="",
+                found=read.error.detail,
+                allowed="a file as at the start; the former settings stay in force",
+            )
+            return
+        self._settings = read.ok
+        self._machine.take(OptionsChanged(elapsed_ms(), read.ok.options))
+        self._log.emit("settings-changed", seeds=",".join(read.ok.seeds))
+
+    def _stop(self, callers: StreamServer) -> ExitCode:
+        """Leave the rotation, take no new connection, finish what is in hand."""
+        self._stopping = True
+        self._log.emit("drain-started")
+        self._log.flush()
+        end_ms = elapsed_ms() + self._settings.stop_grace_ms - STOP_MARGIN_MS
+        gevent.sleep(LEAVE_ROTATION_MS / 1_000)
+        callers.stop_accepting()
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+        while self._machine.state.requests and elapsed_ms() < end_ms:
+            gevent.sleep(TICK_S)
+        done = not self._machine.state.requests
+        self._log.emit("drained" if done else "drain-timed-out")
+        return ExitCode.OK if done else ExitCode.CUT_OFF
+
+
+def _changed_ns(file: str) -> int:
+    try:
+        return os.stat(file).st_mtime_ns
+    except FileNotFoundError:
+        return 0  # it is being replaced; the next second finds the new one
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -0,0 +1,126 @@
+"""Read and check the settings of an entry that sends directly."""
+
+import pathlib
+import tomllib
+from typing import NamedTuple, NotRequired, TypedDict
+
+import msgspec
+from expression import Error, Ok, Result
+
+from nutmegslip_decisions.direct import Options
+
+
+class _Process(TypedDict):
+    host: str
+    zone: str
+    log_level: NotRequired[str]
+    metrics_port: NotRequired[int]
+
+
+class _Listen(TypedDict):
+    callers: str
+    ready: str
+    peers: str
+
+
+class _Fleet(TypedDict):
+    seeds: list[str]
+    zones: list[str]
+
+
+class _Store(TypedDict):
+    address: str
+
+
+class _Bounds(TypedDict):
+    budget_ratio: NotRequired[float]
+    budget_window_s: NotRequired[float]
+    budget_slack: NotRequired[float]
+    cold_multiplier: NotRequired[float]
+    cold_slack: NotRequired[float]
+    stop_grace_s: NotRequired[float]
+    stall_ms: NotRequired[float]
+
+
+class _File(TypedDict):
+    process: _Process
+    listen: _Listen
+    fleet: _Fleet
+    store: _Store
+    bounds: _Bounds
+
+
+class Settings(NamedTuple):
+    """Hold checked settings; addresses are (ip, port)."""
+
+    host: str
+    zone: str
+    log_level: str
+    metrics: tuple[str, int]
+    callers: tuple[str, int]
+    ready: tuple[str, int]
+    peers: tuple[str, int]
+    seeds: tuple[str, ...]
+    store: str
+    options: Options
+    stop_grace_ms: int
+
+
+class SettingsFault(NamedTuple):
+    """Name the first fault of a settings file."""
+
+    file: str
+    detail: str
+
+    @property
+    def message(self) -> str:
+        """Return the fault and its remedy."""
+        return f"{self.file}: {self.detail}; mend the file and start again"
+
+
+def read_settings(file: str) -> Result[Settings, SettingsFault]:
+    """Return the checked settings of a TOML file, or its first fault."""
+    try:
+        content = tomllib.loads(pathlib.Path(file).read_text(encoding="utf-8"))
+        return Ok(_settings(msgspec.convert(content, _File)))
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        return Error(SettingsFault(file, str(error)))
+
+
+def _settings(found: _File) -> Settings:
+    process, listen, fleet = found["process"], found["listen"], found["fleet"]
+    callers = _address(listen["callers"])
+    return Settings(
+        host=process["host"],
+        zone=process["zone"],
+        log_level=process.get("log_level", "info"),
+        metrics=(callers[0], process.get("metrics_port", 9464)),
+        callers=callers,
+        ready=_address(listen["ready"]),
+        peers=_address(listen["peers"]),
+        seeds=tuple(seed.rpartition(":")[0] for seed in fleet["seeds"]),
+        store=found["store"]["address"],
+        options=_options(process, fleet, found["bounds"]),
+        stop_grace_ms=int(found["bounds"].get("stop_grace_s", 8) * 1_000),
+    )
+
+
+def _options(process: _Process, fleet: _Fleet, bounds: _Bounds) -> Options:
+    usual = Options(process["host"])
+    return usual._replace(
+        # Each zone has an entry at least, whatever the seeds have been told yet.
+        entries=max(len(fleet["seeds"]), len(fleet["zones"]), 1),
+        budget_ratio=bounds.get("budget_ratio", usual.budget_ratio),
+        budget_window_ms=int(bounds.get("budget_window_s", 10) * 1_000),
+        budget_slack=bounds.get("budget_slack", usual.budget_slack),
+        cold_multiplier=bounds.get("cold_multiplier", usual.cold_multiplier),
+        cold_slack=bounds.get("cold_slack", usual.cold_slack),
+        stall_ms=int(bounds.get("stall_ms", usual.stall_ms)),
+    )
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{text!r} is no ip:port")
+    return host, int(port)
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/__init__.py
@@ -4,6 +4,7 @@
 from nutmegslip_runtime.eventlog._explain import UnknownTopic, explain
 from nutmegslip_runtime.eventlog._kinds import EventKind, Level
 from nutmegslip_runtime.eventlog._log import EventLog, make_log
+from nutmegslip_runtime.eventlog._paced import PacedLog
 from nutmegslip_runtime.eventlog._page import render_page
 
 __all__ = [
@@ -11,6 +12,7 @@
     "EventKind",
     "EventLog",
     "Level",
+    "PacedLog",
     "UnknownTopic",
     "event_named",
     "event_numbered",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_page.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_page.py
@@ -17,6 +17,8 @@
     17: "Links",
     18: "Shutdown",
     19: "Callers",
+    20: "Direct serving: what is believed",
+    21: "Direct serving: requests",
 }
 
 _HEAD = """\
--- /dev/null
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_answers.py
@@ -0,0 +1,89 @@
+"""Write heads and chunks of messages, and keep headers of one hop to that hop."""
+
+from collections.abc import Iterable
+from enum import Enum, auto
+from http.client import responses
+
+Header = tuple[bytes, bytes]
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+_ONE_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+class Framing(Enum):
+    """Say how the end of a body is told."""
+
+    NONE = auto()
+    LENGTH = auto()
+    CHUNKED = auto()
+    CLOSE = auto()
+
+
+def end_to_end(headers: Iterable[Header]) -> tuple[Header, ...]:
+    """Return the headers that concern more than one connection, in their order."""
+    headers = tuple(headers)
+    named = frozenset(
+        word.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for word in value.split(b",")
+    )
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _ONE_HOP and name.lower() not in named
+    )
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: Iterable[Header], body: bytes
+) -> bytes:
+    """Return a whole request; a body is sent with its length."""
+    length = body or method in (b"POST", b"PUT", b"PATCH")
+    lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
+    lines += [b"%s: %s\r\n" % header for header in headers]
+    if length:
+        lines.append(b"content-length: %d\r\n" % len(body))
+    return b"".join([*lines, b"\r\n", body])
+
+
+def encode_head(
+    status: int,
+    headers: Iterable[Header],
+    *,
+    reason: bytes = b"",
+    length: int | None = None,
+    chunked: bool = False,
+    close: bool = False,
+) -> bytes:
+    """Return the head of an answer, with the framing that is asked for."""
+    phrase = reason or responses.get(status, "").encode()
+    lines = [b"HTTP/1.1 %d %s\r\n" % (status, phrase)]
+    lines += [b"%s: %s\r\n" % header for header in headers]
+    if length is not None:
+        lines.append(b"content-length: %d\r\n" % length)
+    if chunked:
+        lines.append(b"transfer-encoding: chunked\r\n")
+    if close:
+        lines.append(b"connection: close\r\n")
+    return b"".join([*lines, b"\r\n"])
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return one chunk of a body; ``data`` must not be empty."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
@@ -0,0 +1,124 @@
+"""Read requests from the bytes of a connection, within limits."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import httptools
+
+from nutmegslip_runtime.http1._answers import Header
+
+HEADER_OVERHEAD_BYTES = 4  # colon, space and line end of a header line
+
+
+class RequestFault(Exception):  # noqa: N818
+    """The bytes are no request that may be served; answer ``status`` and close."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """Hold one whole request; ``target`` is as sent, ``keep`` as the caller asks."""
+
+    method: bytes = b""
+    target: bytes = b""
+    headers: list[Header] = field(default_factory=list)
+    body: bytes = b""
+    version: str = "1.1"
+    keep: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first header of a lower-case name."""
+        return next((v for n, v in self.headers if n.lower() == name), None)
+
+
+class RequestReader:
+    """Collect whole requests; ``begun`` tells that one has started to arrive,
+    ``in_head`` that its head is not whole.
+    """
+
+    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+        self._header_bytes = header_bytes
+        self._body_bytes = body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._whole: deque[HttpRequest] = deque()
+        self._request = HttpRequest()
+        self._size = 0
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._fault: RequestFault | None = None
+        self.in_head = False
+        self._unread_head_bytes = 0
+        self.begun = False
+        self.wants_continue = False
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes; raise RequestFault where they are no proper request."""
+        self._unread_head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise RequestFault(400, "upgrades are not served") from error
+        except httptools.HttpParserError as error:
+            raise self._fault or RequestFault(400, str(error)) from error
+        if self.in_head and self._unread_head_bytes > self._header_bytes:
+            raise RequestFault(431, "the head is over the limit")
+
+    def take(self) -> HttpRequest | None:
+        """Return the oldest whole request, or None."""
+        return self._whole.popleft() if self._whole else None
+
+    def on_message_begin(self) -> None:
+        """Begin a request (called by the parser)."""
+        self._request = HttpRequest()
+        self._body, self._size, self._body_size = [], 0, 0
+        self.in_head, self._unread_head_bytes = True, 0
+        self.begun = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target (called by the parser)."""
+        self._request.target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header (called by the parser)."""
+        self._count_head(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+        self._request.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head (called by the parser)."""
+        self.in_head = False
+        request = self._request
+        request.method = self._parser.get_method()
+        request.version = self._parser.get_http_version()
+        request.keep = self._parser.should_keep_alive()
+        length = request.header(b"content-length") or b"0"
+        if length.isdigit() and int(length) > self._body_bytes:
+            self._refuse(413, "the body is over the limit")
+        expect = request.header(b"expect")
+        self.wants_continue = expect is not None and b"100-continue" in expect.lower()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body (called by the parser)."""
+        self._body_size += len(body)
+        if self._body_size > self._body_bytes:
+            self._refuse(413, "the body is over the limit")
+        self._body.append(bytes(body))
+
+    def on_message_complete(self) -> None:
+        """Keep the request as whole (called by the parser)."""
+        self._request.body = b"".join(self._body)
+        self._whole.append(self._request)
+        self.begun = False
+        self.wants_continue = False
+
+    def _count_head(self, size: int) -> None:
+        self._size += size
+        if self._size > self._header_bytes:
+            self._refuse(431, "the head is over the limit")
+
+    def _refuse(self, status: int, detail: str) -> None:
+        self._fault = RequestFault(status, detail)
+        raise self._fault
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/program/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/program/__init__.py
@@ -1,6 +1,6 @@
 """Hold what the shells of both programs share."""
 
-from nutmegslip_runtime.program._exit import ExitCode
+from nutmegslip_runtime.exits import ExitCode
 from nutmegslip_runtime.program._meters import Gauge
 from nutmegslip_runtime.program._options import (
     Life,
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/program/_shell.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/program/_shell.py
@@ -21,6 +21,7 @@
     sync_status,
 )
 from nutmegslip_runtime.eventlog import EventLog, make_log
+from nutmegslip_runtime.exits import ExitCode
 from nutmegslip_runtime.links import LinkEvents, Links
 from nutmegslip_runtime.process import (
     HttpServer,
@@ -30,7 +31,6 @@
     serve_http,
 )
 from nutmegslip_runtime.program._codec import make_codec
-from nutmegslip_runtime.program._exit import ExitCode
 from nutmegslip_runtime.program._meters import Gauge, Meters, sync_gauges
 from nutmegslip_runtime.program._options import Life, Settings, link_options
 
