--- /dev/null
+++ b/fakes/store/_api.py
@@ -0,0 +1,63 @@
+"""Answer the store's reading calls."""
+
+import falcon
+
+from fakes import _serving
+from fakes.store._history import History
+
+
+class StoreServer:
+    """Serve a history on loopback; ``down`` makes each call answer 503."""
+
+    def __init__(self) -> None:
+        self.history = History()
+        self.down = False
+        self.calls = 0
+        app = falcon.App()
+        app.add_route("/kv-range", _Range(self))
+        app.add_route("/kv-watch", _Watch(self))
+        self._server = _serving.start(app, "127.0.0.1", 0)
+
+    @property
+    def address(self) -> str:
+        """Return the address as ip:port."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def count_call(self) -> None:
+        """Count a call; raise where the store is down."""
+        self.calls += 1
+        if self.down:
+            raise falcon.HTTPServiceUnavailable(description="down by order of a test")
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.stop(timeout=0)
+
+
+class _Range:
+    def __init__(self, server: StoreServer) -> None:
+        self._server = server
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer one page of items."""
+        self._server.count_call()
+        prefix = request.get_param("pathPrefix", default="")
+        after = request.get_param("after", default="")
+        response.media = self._server.history.page(prefix, after)
+
+
+class _Watch:
+    def __init__(self, server: StoreServer) -> None:
+        self._server = server
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer what has changed, or 410 where that is forgotten."""
+        self._server.count_call()
+        found = self._server.history.watch(
+            request.get_param("pathPrefix", default=""),
+            request.get_param_as_int("after", required=True),
+            request.get_param_as_int("waitMs", default=0) / 1_000,
+        )
+        if found is None:
+            raise falcon.HTTPGone(description="that history is forgotten")
+        response.media = found
--- /dev/null
+++ b/fakes/store/_history.py
@@ -0,0 +1,76 @@
+"""Keep items, their revisions and what has changed."""
+
+import base64
+import json
+from typing import Any
+
+import gevent.event
+
+FIRST_REVISION = 7
+PAGE_ITEMS = 50
+
+
+class History:
+    """Hold items by key; every change has a revision of its own."""
+
+    def __init__(self) -> None:
+        self.revision = FIRST_REVISION
+        self._items: dict[str, dict[str, Any]] = {}
+        self._events: list[dict[str, Any]] = []
+        self._oldest = FIRST_REVISION
+        self._changed = gevent.event.Event()
+
+    def put(self, key: str, value: Any) -> None:
+        """Set a key to a value, given as data or as raw bytes."""
+        self.revision += 1
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        made = self._items.get(key, {}).get("createRev", self.revision)
+        item = {
+            "key": key,
+            "value": base64.b64encode(raw).decode(),
+            "revision": self.revision,
+            "createRev": made,
+            "lease": 0,
+        }
+        self._items[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        self._items.pop(key, None)
+        self._note({"key": key, "revision": self.revision, "removed": True})
+
+    def compact(self) -> None:
+        """Forget what has changed so far."""
+        self._events.clear()
+        self._oldest = self.revision
+
+    def page(self, prefix: str, after: str) -> dict[str, Any]:
+        """Return one page of items."""
+        keys = sorted(key for key in self._items if key.startswith(prefix))
+        later = [key for key in keys if key > after]
+        found = [self._items[key] for key in later[:PAGE_ITEMS]]
+        more = len(later) > PAGE_ITEMS
+        return {"items": found, "hasMore": more, "currentRev": self.revision}
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> dict[str, Any] | None:
+        """Return what changed since a revision, None where that is forgotten."""
+        with gevent.Timeout(wait_s, False):
+            while after >= self._oldest and not self._since(prefix, after):
+                self._changed.wait()
+        if after < self._oldest:
+            return None
+        return {"events": self._since(prefix, after), "currentRev": self.revision}
+
+    def _since(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self._events
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self._events.append(event)
+        self._changed.set()
+        self._changed.clear()
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -1,5 +1,6 @@
 """Serve callers over HTTP and send to upstreams directly."""
 
+from nutmegslip_entry.direct._callers import Connection
 from nutmegslip_entry.direct._dialect import AnswerFields, CallerFields, Dialect
 from nutmegslip_entry.direct._machine import Machine
 from nutmegslip_entry.direct._program import Program
@@ -8,6 +9,7 @@
 __all__ = [
     "AnswerFields",
     "CallerFields",
+    "Connection",
     "Dialect",
     "Machine",
     "Program",
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -125,6 +125,7 @@
         self._limits = limits
         self._is_stopping = is_stopping
         self._reader = RequestReader(limits.header_bytes, limits.body_bytes)
+        self._closing = False
         self.idle = True
 
     def run(self) -> None:
@@ -149,6 +150,7 @@
     def close_if_idle(self) -> None:
         """Close a connection on which no request has begun."""
         if self.idle and not self._reader.begun:
+            self._closing = True
             self._shut(socket.SHUT_RDWR)
 
     def _serve_watched(self, caller: Caller, request: HttpRequest) -> None:
@@ -195,7 +197,9 @@
     def _receive(self, timeout_s: float) -> bytes:
         self._socket.settimeout(timeout_s)
         try:
-            return self._socket.recv(READ_BYTES)
+            data = self._socket.recv(READ_BYTES)
+            # Bytes that crossed the close are not served: no answer could go back.
+            return b"" if self._closing else data
         except TimeoutError as error:
             if self._reader.begun:
                 raise RequestFault(408, "the request came too slowly") from error
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -164,6 +164,7 @@
             return
         self._settings = read.ok
         self._machine.take(OptionsChanged(elapsed_ms(), read.ok.options))
+        self._meters.count("settings-changed")
         self._log.emit("settings-changed", seeds=",".join(read.ok.seeds))
 
     def _stop(self, callers: StreamServer) -> ExitCode:
--- /dev/null
+++ b/tests/test_direct_callers.py
@@ -0,0 +1,51 @@
+"""Test how the connections of callers begin and end."""
+
+import unittest
+
+import gevent
+from gevent import socket
+
+from nutmegslip_decisions.direct import RequestLimits
+from nutmegslip_entry.direct import Connection
+from nutmegslip_runtime.clock import elapsed_ms
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+
+
+class ConnectionTests(unittest.TestCase):
+    def setUp(self):
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            self.caller = socket.create_connection(listener.getsockname())
+            ours, _ = listener.accept()
+        self.served = []
+        self.connection = Connection(
+            ours, self._serve, RequestLimits(), lambda: False, elapsed_ms
+        )
+        self.addCleanup(self.caller.close)
+
+    def _serve(self, caller, request):
+        self.served.append(request)
+        caller.answer(200, [], b"")
+
+    def test_a_request_that_crosses_the_close_is_not_served(self):
+        self.caller.sendall(REQUEST)
+        self.connection.close_if_idle()
+        self.connection.run()
+        self.assertEqual(self.served, [])
+
+    def test_a_request_that_has_begun_is_served_before_the_close(self):
+        running = gevent.spawn(self.connection.run)
+        self.caller.sendall(REQUEST[:9])
+        gevent.sleep(0.01)
+        self.connection.close_if_idle()
+        self.caller.sendall(REQUEST[9:])
+        gevent.sleep(0.01)
+        self.assertEqual(len(self.served), 1)
+        self.caller.close()
+        running.join(2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_direct_processes.py
@@ -0,0 +1,248 @@
+"""Test a real entry on the platform's path against sound and faulty stand-ins."""
+
+import json
+import signal
+import unittest
+
+import gevent
+
+from fakes.runners import Fault
+from nutmegslip_runtime.clock import elapsed_ms
+from nutmegslip_runtime.http1 import encode_request
+from tests.direct_site import ANSWER_MS, KEY, Site, published, route
+
+
+class DirectTestCase(unittest.TestCase):
+    """Start one entry with two runners of each service."""
+
+    def setUp(self):
+        self.site = Site()
+        self.addCleanup(self.site.close)
+        self.site.publish(published(3))
+        self.board = [self.site.add(name, "board") for name in ("b1", "b2")]
+        self.model = [self.site.add(n, "model", events=6) for n in ("m1", "m2")]
+        self.site.start()
+
+    def runs(self, request_id):
+        return sum(runner.runs[request_id] for runner in self.board + self.model)
+
+    def fail_all(self, fault):
+        for runner in self.board + self.model:
+            runner.fault = fault
+
+
+class ForwardingTests(DirectTestCase):
+    def test_what_passes_and_what_is_set(self):
+        headers = (
+            (b"X-Nutmegslip-Tenant", b"somebody-else"),
+            (b"Connection", b"X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"X-Kept", b"a"),
+        )
+        body = bytes(range(256)) * 100
+        target = "/lookups/a%2Fb?c=%20d"
+        reply = self.site.ask(target, method="POST", body=body, headers=headers)
+        self.assertEqual((reply.status, reply.whole), (200, True))
+        (seen,) = [request for runner in self.board for request in runner.seen]
+        found = {name.lower(): value for name, value in seen.headers}
+        self.assertEqual((seen.target, seen.body), (target.encode(), body))
+        self.assertEqual(found[b"x-nutmegslip-tenant"], b"parish")
+        self.assertEqual(found[b"x-kept"], b"a")
+        self.assertNotIn(b"x-nutmegslip-key", found)
+        self.assertNotIn(b"x-hop", found)
+        self.assertLessEqual(int(found[b"x-nutmegslip-deadline-ms"]), 3_000)
+        seal = reply.answer.header(b"x-nutmegslip-response-seal")
+        self.assertIn(seal.split(b".")[0], (b"b1", b"b2"))
+
+    def test_refusals_of_the_entrys_own(self):
+        cases = (
+            ("/none/1", KEY, 404),
+            ("/lookups/1", "bad", 401),
+            ("/open/1", None, 200),
+        )
+        for target, key, status in cases:
+            with self.subTest(target=target):
+                self.assertEqual(self.site.ask(target, key=key).status, status)
+
+    def test_improper_bytes_are_refused_and_nothing_runs(self):
+        head = b"POST /lookups/1 HTTP/1.1\r\nHost: hymns.example\r\n"
+        cases = (
+            (b"400", head + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"),
+            (b"413", head + b"Content-Length: 70000\r\n\r\n"),
+            (b"431", head + b"x: " + b"y" * 5_000 + b"\r\n\r\n"),
+            (b"408", head),
+        )
+        for status, data in cases:
+            with self.subTest(status=status):
+                found = self.site.raw(data)
+                self.assertTrue(found.startswith(b"HTTP/1.1 " + status), found)
+        self.assertFalse([r for runner in self.board for r in runner.seen])
+
+    def test_a_connection_serves_one_request_after_the_other(self):
+        channel = self.site.connect()
+        for number in range(3):
+            fields = self.site.fields(f"kept-{number}")
+            channel.send(encode_request(b"GET", b"/lookups/1", fields, b""), 1.0)
+            answer = channel.read_answer(elapsed_ms() + ANSWER_MS)
+            body = channel.read_whole_body(elapsed_ms() + ANSWER_MS)
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(body, f"answer to kept-{number}".encode())
+        channel.close()
+
+    def test_a_stream_comes_whole_and_in_order(self):
+        reply = self.site.ask("/verses/1", method="POST", request_id="s1")
+        ids = [
+            line for line in reply.body.decode().splitlines() if line.startswith("id:")
+        ]
+        self.assertEqual(ids, [f"id: {number}" for number in range(1, 7)])
+        self.assertTrue(reply.whole)
+
+
+class FaultTests(DirectTestCase):
+    def test_what_callers_get_from_faulty_upstreams(self):
+        kinds = (("/lookups/1", "idempotent"), ("/pushes/1", "non-idempotent"))
+        expected = {
+            Fault.SHED: ((503, 0), (503, 0)),
+            Fault.ERROR: ((500, 2), (500, 1)),
+            Fault.RESET: ((502, 2), (502, 1)),
+            Fault.RUBBISH: ((502, 2), (502, 1)),
+            Fault.SHORT: ((502, 2), (502, 1)),
+            Fault.UNSEALED: ((502, 2), (502, 1)),
+            Fault.NO_LENGTH: ((200, 1), (200, 1)),
+            Fault.TWICE: ((200, 1), (200, 1)),
+            Fault.OTHER_FIRST: ((200, 1), (200, 1)),
+            Fault.MISDIRECTED: ((503, 0), (503, 0)),
+        }
+        for fault, outcomes in expected.items():
+            self.fail_all(fault)
+            for (target, kind), (status, runs) in zip(kinds, outcomes, strict=True):
+                with self.subTest(fault=fault, kind=kind):
+                    name = f"{fault}-{kind}"
+                    reply = self.site.ask(target, method="POST", request_id=name)
+                    found = (reply.status, self.runs(name), reply.whole)
+                    self.assertEqual(found, (status, runs, True))
+                    if status == 503:
+                        self.assertIsNotNone(reply.answer.header(b"retry-after"))
+                    if status == 200:
+                        self.assertEqual(reply.body, f"answer to {name}".encode())
+
+    def test_a_silent_upstream_is_given_up_on_at_the_routes_timeout(self):
+        self.fail_all(Fault.SILENT)
+        routes = (route("lookups", "board", "idempotent", timeoutMs=400),)
+        self.site.publish(published(4, *routes))
+        gevent.sleep(0.3)
+        started_ms = elapsed_ms()
+        reply = self.site.ask("/lookups/1", request_id="quiet")
+        self.assertIn(reply.status, (502, 504))
+        self.assertLess(elapsed_ms() - started_ms, 900)
+
+    def test_a_broken_stream_goes_on_elsewhere_with_no_event_twice(self):
+        self.model[0].fault = self.model[1].fault = Fault.CUT_EVENT
+        reply = self.site.ask("/verses/1", method="POST", request_id="s2")
+        ids = [
+            line for line in reply.body.decode().splitlines() if line.startswith("id:")
+        ]
+        self.assertEqual(ids, [f"id: {number}" for number in range(1, 5)])
+        self.assertFalse(reply.whole)  # both broke off: it must not look complete
+        self.model[0].fault = self.model[1].fault = Fault.NONE
+        self.model[0].fault = Fault.CUT_EVENT
+        for number in range(4):
+            whole = self.site.ask("/verses/1", method="POST", request_id=f"t{number}")
+            ids = [
+                line
+                for line in whole.body.decode().splitlines()
+                if line.startswith("id:")
+            ]
+            self.assertEqual(ids, [f"id: {n}" for n in range(1, 7)])
+
+    def test_a_caller_who_leaves_ends_the_run(self):
+        for runner in self.model:
+            runner.pause_s, runner.events = 0.05, 200
+        channel = self.site.connect()
+        fields = self.site.fields("leaver")
+        channel.send(encode_request(b"POST", b"/verses/1", fields, b""), 1.0)
+        channel.read_answer(elapsed_ms() + ANSWER_MS)
+        channel.close()
+        with gevent.Timeout(5):
+            while not any("leaver" in runner.hung_up for runner in self.model):
+                gevent.sleep(0.02)
+
+
+class PublishedTests(DirectTestCase):
+    def test_changes_are_in_force_without_a_restart(self):
+        self.site.publish(published(4, route("new", "board", "idempotent")))
+        gevent.sleep(0.3)
+        statuses = [self.site.ask(f"/{n}/1").status for n in ("new", "lookups")]
+        self.assertEqual(statuses, [200, 404])
+
+    def test_leaving_and_taken_out_upstreams_get_nothing(self):
+        self.site.list("b1", "board", state="draining")
+        self.site.list("b2", "board", zone="z")
+        gevent.sleep(0.3)
+        self.board[0].seen.clear()
+        for number in range(4):
+            self.site.ask("/lookups/1", request_id=f"d{number}")
+        self.assertEqual((len(self.board[0].seen), len(self.board[1].seen)), (0, 4))
+        self.site.store.history.put("op/evacuate/z", {})
+        gevent.sleep(0.3)
+        reply = self.site.ask("/lookups/1")
+        self.assertEqual((reply.status, len(self.board[1].seen)), (503, 4))
+        self.site.store.history.remove("op/evacuate/z")
+        gevent.sleep(0.3)
+        self.assertEqual(self.site.ask("/lookups/1").status, 200)
+
+    def test_unreadable_entries_name_no_upstream_and_the_others_hold(self):
+        put = self.site.store.history.put
+        bad = self.site.runners["b1"].entry("board")
+        put("servers/x1", b"\xff\x00")
+        put("servers/x2", bad | {"address": 7})
+        put("servers/x3", bad | {"state": "asleep"})
+        put("servers/x4", {k: v for k, v in bad.items() if k != "zone"})
+        put("op/config", b"{}")
+        gevent.sleep(0.3)
+        self.assertEqual(self.site.ask("/lookups/1").status, 200)
+        gevent.sleep(1.2)
+        lines = [json.loads(line) for line in self.site.log.read_text().splitlines()]
+        keys = [
+            line["fields"]["key"]
+            for line in lines
+            if line["event"] == "entry-unreadable"
+        ]
+        self.assertEqual(
+            sorted(keys), ["op/config", *(f"servers/x{n}" for n in range(1, 5))]
+        )
+
+    def test_an_outage_and_a_forgotten_history_stop_nothing(self):
+        self.site.store.down = True
+        gevent.sleep(0.5)
+        self.assertEqual(self.site.ask("/lookups/1").status, 200)
+        self.site.publish(published(4, route("new", "board", "idempotent")))
+        self.site.store.history.compact()
+        self.site.store.down = False
+        with gevent.Timeout(5):
+            while self.site.ask("/new/1").status != 200:
+                gevent.sleep(0.05)
+
+
+class StopTests(DirectTestCase):
+    def test_a_stop_finishes_what_is_in_hand_and_what_still_arrives(self):
+        for runner in self.model:
+            runner.pause_s = 0.3
+        stream = gevent.spawn(self.site.ask, "/verses/1", method="POST")
+        gevent.sleep(0.2)
+        self.site.signal(signal.SIGTERM)
+        self.site.wait_ready(503)
+        self.assertEqual(self.site.ask("/lookups/1").status, 200)
+        self.site.signal(signal.SIGTERM)
+        self.assertTrue(stream.get(timeout=8).whole)
+        self.assertEqual(self.site.wait_end(8), 0)
+
+    def test_settings_are_read_again_on_a_hangup(self):
+        self.site.signal(signal.SIGHUP)
+        gevent.sleep(0.3)
+        self.assertEqual(self.site.ask("/lookups/1").status, 200)
+        self.assertIn('event="settings-changed"', self.site.metrics())
+
+
+if __name__ == "__main__":
+    unittest.main()
