Refuse a model workload that is not repeatable; fuzz direct serving against an oracle

Cause: the catalogue's check took a workload of kind model with repeatable = false, for which a sidecar has no call; and the direct reducer had no stateful proof. Ruled out: adding the call; engines know no start that happens once. Before: the new case failed (no error was found). After: it is refused with its remedy; the fuzz runs 60 sequences of 60 moves over two entries in 2.5 s and holds: no second run of what may not repeat, no 'not run' of what may have run, cold bound and budget over both entries.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/configuration/_errors.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/configuration/_errors.py
@@ -13,6 +13,7 @@
     MISSING_FIELD = "missing-field"
     BAD_VALUE = "bad-value"
     LIMITS_CROSSED = "limits-crossed"
+    NOT_REPEATABLE = "not-repeatable"
     DUPLICATE_DIGEST = "duplicate-digest"
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/configuration/_parse.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/configuration/_parse.py
@@ -1,7 +1,7 @@
 """Parse and check published values, answers of the service and documents."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -20,7 +20,7 @@
     PageSchema,
     WorkloadSchema,
 )
-from nutmegslip_decisions.model import Account, Host, MarkState, Workload
+from nutmegslip_decisions.model import Account, Host, MarkState, Workload, WorkloadKind
 
 CatalogueItem = Workload | Account | MarkState
 
@@ -129,21 +129,35 @@
                 ),
             )
         )
-    crossed = isinstance(value, WorkloadSchema) and value.cold_limit > value.warm_limit
-    if not crossed:
-        return Ok(value.build(name))
-    return Error(
-        (
-            ConfigurationError(
-                ErrorKind.LIMITS_CROSSED,
-                f"{change.key}.cold_limit",
-                str(value.cold_limit),
-                f"at most warm_limit, {value.warm_limit}",
-                "lower cold_limit or raise warm_limit",
-                change.version,
-            ),
+    if isinstance(value, WorkloadSchema):
+        faults = tuple(_workload_faults(value, change))
+        if faults:
+            return Error(faults)
+    return Ok(value.build(name))
+
+
+def _workload_faults(
+    value: WorkloadSchema, change: Change
+) -> Iterator[ConfigurationError]:
+    """Yield what is wrong between the fields of a workload."""
+    if value.cold_limit > value.warm_limit:
+        yield ConfigurationError(
+            ErrorKind.LIMITS_CROSSED,
+            f"{change.key}.cold_limit",
+            str(value.cold_limit),
+            f"at most warm_limit, {value.warm_limit}",
+            "lower cold_limit or raise warm_limit",
+            change.version,
+        )
+    if value.kind is WorkloadKind.MODEL and not value.repeatable:
+        yield ConfigurationError(
+            ErrorKind.NOT_REPEATABLE,
+            f"{change.key}.repeatable",
+            "false",
+            "true for a workload of kind model: engines have no call that starts once",
+            "leave the field out, or publish the workload as a plain service",
+            change.version,
         )
-    )
 
 
 def _is_name(text: str) -> bool:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -53,6 +53,12 @@
         "workload/w.cold_limit",
         "at most warm_limit, 3",
     ),
+    (
+        {**WORKLOAD, "repeatable": False},
+        ErrorKind.NOT_REPEATABLE,
+        "workload/w.repeatable",
+        "true for a workload of kind model",
+    ),
 ]
 
 DOCUMENT = f"""
--- /dev/null
+++ b/tests/test_direct_fuzz.py
@@ -0,0 +1,258 @@
+"""Fuzz several entries that send directly against an oracle that sees every send."""
+
+import unittest
+from collections import Counter, defaultdict
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from immutables import Map
+
+from nutmegslip_decisions.direct import (
+    AttemptFailed,
+    Begun,
+    Broken,
+    ConfigurationPublished,
+    Declined,
+    DeliverFailure,
+    Ended,
+    Errored,
+    GroupRank,
+    ListingRead,
+    NotSent,
+    Options,
+    PaceMeasured,
+    PeerReported,
+    Refuse,
+    RequestKind,
+    Send,
+    StoreLost,
+    StoreReached,
+    Tick,
+    UpstreamPublished,
+    UpstreamRemoved,
+    ZonesOut,
+    load_report,
+)
+from tests.direct_world import World, configuration, upstream
+
+ENTRIES = 2
+COLD_BOUND = 20.0 * 1.5 + 5.0
+OPTIONS = Options(
+    "entry",
+    entries=ENTRIES,
+    budget_ratio=0.2,
+    budget_slack=10.0,
+    cold_multiplier=1.5,
+    cold_slack=5.0,
+)
+PATHS = ("/lookups/1", "/pushes/1", "/verses/1")
+FAILURES = (
+    NotSent(),
+    Declined(),
+    Declined(misdirected=True),
+    Declined(at_fault="m1"),
+    Broken(),
+    Errored(),
+)
+UPSTREAMS = (
+    upstream("b1"),
+    upstream("b2", zone="b"),
+    upstream("m1", "model", slots=30, rank=GroupRank("g", 1, 0, is_open=True)),
+    upstream("m2", "model", slots=30, rank=GroupRank("g", 1, 1, is_open=True)),
+)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Drive entries with late views of each other and of the list."""
+
+    def __init__(self):
+        super().__init__()
+        self.worlds = [World(*UPSTREAMS, options=OPTIONS) for _ in range(ENTRIES)]
+        self.now_ms = self.worlds[0].now_ms
+        self.in_hand = [{} for _ in range(ENTRIES)]
+        self.sends = Counter()
+        self.may_have_run = set()
+        self.answered = set()
+        self.cold_sends = defaultdict(list)
+        self.arrivals = Counter()
+        self.repeats = Counter()
+        self.listed = {item.id: item for item in UPSTREAMS}
+        self.out = frozenset()
+
+    def _take(self, number, event):
+        for effect in self.worlds[number].take(event):
+            self._heed(number, effect)
+
+    def _heed(self, number, effect):
+        match effect:
+            case Send(request, to):
+                name = (number, request.ticket)
+                assert name not in self.answered, f"{name} sent after its answer"
+                assert not to.leaving
+                assert to.zone not in self.worlds[number].state.zones_out
+                assert to.rank is None or to.rank.is_open
+                assert request.deadline_ms > self.now_ms
+                if name in self.may_have_run:
+                    assert request.route.kind is not RequestKind.NON_IDEMPOTENT
+                self.repeats[request.service] += self.sends[name] > 0
+                self.sends[name] += 1
+                assert to.id not in request.tried - {to.id}
+                self.in_hand[number][request.ticket] = request
+                if request.service == "model":
+                    self.cold_sends[to.id].append(self.now_ms)
+            case Refuse(ticket, _, ran, after_ms):
+                name = (number, ticket)
+                assert name not in self.answered, f"{name} answered twice"
+                if name in self.may_have_run:
+                    assert ran, f"{name} may have run but was called not run"
+                elif not ran and self.worlds[number].state.configuration:
+                    assert after_ms > 0
+                self.answered.add(name)
+            case DeliverFailure(ticket):
+                self.answered.add((number, ticket))
+
+    @rule(number=st.integers(0, ENTRIES - 1), path=st.sampled_from(PATHS))
+    def arrive(self, number, path):
+        world = self.worlds[number]
+        world.now_ms = self.now_ms
+        self.arrivals["model" if "verses" in path else "board"] += 1
+        for effect in world.arrive(path, request_id=f"{number}-{world.tickets + 1}"):
+            self._heed(number, effect)
+
+    @rule(number=st.integers(0, ENTRIES - 1), count=st.integers(2, 25))
+    def burst(self, number, count):
+        for _ in range(count):
+            self.arrive(number, "/verses/1")
+
+    @rule(
+        number=st.integers(0, ENTRIES - 1),
+        failure=st.sampled_from(FAILURES),
+        pick=st.integers(0, 99),
+    )
+    def fail(self, number, failure, pick):
+        request = self._pick(number, pick)
+        if request is None:
+            return
+        if isinstance(failure, Broken | Errored):
+            self.may_have_run.add((number, request.ticket))
+        if isinstance(failure, NotSent) or getattr(failure, "misdirected", False):
+            # Such a send reaches no upstream and counts towards no bound.
+            self.sends[(number, request.ticket)] -= 1
+        self._take(number, AttemptFailed(self.now_ms, request.ticket, failure))
+
+    @rule(number=st.integers(0, ENTRIES - 1), pick=st.integers(0, 99))
+    def begin(self, number, pick):
+        if self.in_hand[number]:
+            tickets = sorted(self.in_hand[number])
+            ticket = tickets[pick % len(tickets)]
+            self._take(number, Begun(self.now_ms, ticket))
+
+    @rule(
+        number=st.integers(0, ENTRIES - 1),
+        answered=st.booleans(),
+        pick=st.integers(0, 99),
+    )
+    def end(self, number, answered, pick):
+        request = self._pick(number, pick)
+        if request is not None:
+            self.answered.add((number, request.ticket))
+            self._take(number, Ended(self.now_ms, request.ticket, answered))
+
+    @rule(step_ms=st.sampled_from((1, 40, 300, 1_100, 5_000)))
+    def wait(self, step_ms):
+        self.now_ms += step_ms
+        for number in range(ENTRIES):
+            self._take(number, Tick(self.now_ms))
+
+    @rule()
+    def report(self):
+        for number in range(ENTRIES):
+            seen = Map(load_report(self.worlds[1 - number].state))
+            self._take(number, PeerReported(self.now_ms, "other", seen))
+
+    @rule(name=st.sampled_from(sorted(i.id for i in UPSTREAMS)), kind=st.integers(0, 3))
+    def change(self, name, kind):
+        old = next(item for item in UPSTREAMS if item.id == name)
+        new = (
+            old,
+            old._replace(leaving=True),
+            old._replace(born_ms=old.born_ms + 1),
+            old._replace(rank=old.rank and old.rank._replace(is_open=False)),
+        )[kind]
+        self.listed[name] = new
+        for number in range(ENTRIES):
+            self._take(number, UpstreamPublished(self.now_ms, new))
+
+    @rule(name=st.sampled_from(sorted(i.id for i in UPSTREAMS)))
+    def remove(self, name):
+        self.listed.pop(name, None)
+        for number in range(ENTRIES):
+            self._take(number, UpstreamRemoved(self.now_ms, name))
+
+    @rule(lost=st.booleans())
+    def lose_or_reach_the_store(self, lost):
+        for number in range(ENTRIES):
+            event = StoreLost if lost else StoreReached
+            self._take(number, event(self.now_ms))
+            if not lost:
+                listed = tuple(self.listed.values())
+                self._take(number, ListingRead(self.now_ms, listed))
+
+    @rule(zones=st.sampled_from((frozenset(), frozenset({"a"}), frozenset({"b"}))))
+    def take_zones_out(self, zones):
+        for number in range(ENTRIES):
+            self._take(number, ZonesOut(self.now_ms, zones))
+
+    @rule(version=st.integers(1, 9))
+    def publish(self, version):
+        for number in range(ENTRIES):
+            before = self.worlds[number].state.configuration.version
+            event = ConfigurationPublished(self.now_ms, configuration(version))
+            self._take(number, event)
+            after = self.worlds[number].state.configuration.version
+            assert after == max(before, version)
+
+    @rule(number=st.integers(0, ENTRIES - 1), gap_ms=st.floats(10, 500))
+    def pace(self, number, gap_ms):
+        self._take(number, PaceMeasured(self.now_ms, "model", gap_ms))
+
+    def _pick(self, number, pick):
+        tickets = sorted(self.in_hand[number])
+        return (
+            self.in_hand[number].pop(tickets[pick % len(tickets)]) if tickets else None
+        )
+
+    @invariant()
+    def cold_bound_holds(self):
+        for sent in self.cold_sends.values():
+            recent = sum(at > self.now_ms - 1_000 for at in sent)
+            assert recent <= COLD_BOUND, f"{recent} sends in a second"
+
+    @invariant()
+    def budget_holds(self):
+        for service, repeats in self.repeats.items():
+            allowed = 0.2 * self.arrivals[service] + 10.0
+            # The sweep is over all time: a window can only hold fewer.
+            spans = 1 + (self.now_ms - 1_000_000) // 10_000
+            assert repeats <= allowed + 10.0 * spans
+
+    @invariant()
+    def nothing_is_lost(self):
+        for number, world in enumerate(self.worlds):
+            waiting = {t for queue in world.state.waiting.values() for t in queue}
+            known = set(world.state.requests)
+            assert waiting | set(self.in_hand[number]) == known
+            taken = sum(s.in_hand for s in world.state.standings.values())
+            assert taken == len(self.in_hand[number])
+
+
+FleetTests = Fleet.TestCase
+FleetTests.settings = settings(
+    max_examples=60,
+    stateful_step_count=60,
+    suppress_health_check=list(HealthCheck),
+)
+
+if __name__ == "__main__":
+    unittest.main()
