Replay the lost rank and the slow pace; let a fuzzed push have two attempts

Cause: three mutations of the decisions went unnoticed: a broken push sent again (its route allowed one attempt only), a group that stays open after a fault, slots that ignore the pace. Ruled out: leaving the guards unproved.

--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -47,6 +47,17 @@
         2,
         (Target("board", 1),),
     ),
+    Route(
+        "drafts",
+        HOST,
+        "/drafts/",
+        RequestKind.NON_IDEMPOTENT,
+        800,
+        150,
+        2,
+        (Target("board", 1),),
+        attempts=2,
+    ),
     Route(
         "verses",
         HOST,
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -6,6 +6,7 @@
 
 from nutmegslip_decisions.direct import (
     AttemptFailed,
+    Begun,
     Broken,
     ConfigurationPublished,
     Declined,
@@ -17,6 +18,7 @@
     ListingRead,
     NotSent,
     Options,
+    PaceMeasured,
     PeerReported,
     RefusalKind,
     Refuse,
@@ -174,6 +176,9 @@
             ("/pushes/1", Declined(), Refuse),
             ("/pushes/1", Broken(), Refuse),
             ("/pushes/1", Errored(), DeliverFailure),
+            ("/drafts/1", Declined(), Send),
+            ("/drafts/1", Broken(), Refuse),
+            ("/drafts/1", Errored(), DeliverFailure),
         )
         for path, failure, expected in cases:
             with self.subTest(path=path, failure=failure):
@@ -206,6 +211,90 @@
         self.assertIsInstance(world.take(late)[0], Refuse)
 
 
+class GroupTests(unittest.TestCase):
+    """Replay a rank that dies while the published list lags."""
+
+    RANKS = tuple(
+        upstream(f"m{n}", "model", rank=GroupRank("g", 1, n, is_open=True))
+        for n in range(3)
+    )
+
+    def _after_a_fault(self):
+        world = World(*self.RANKS)
+        (sent,) = world.arrive("/verses/1")
+        fault = Declined(at_fault="m2")
+        world.now_ms += 1_500
+        world.take(AttemptFailed(world.now_ms, sent.request.ticket, fault))
+        return world
+
+    def test_nothing_is_sent_into_the_stall(self):
+        world = self._after_a_fault()
+        (refusal,) = world.arrive("/verses/1")
+        self.assertIs(refusal.kind, RefusalKind.NO_UPSTREAM)
+        self.assertGreaterEqual(refusal.retry_after_ms, 1_200)
+
+    def test_then_one_request_finds_out_and_its_answer_opens_the_group(self):
+        world = self._after_a_fault()
+        world.now_ms += 600
+        effects = [world.arrive("/verses/1")[0] for _ in range(3)]
+        kinds = [type(effect) for effect in effects]
+        self.assertEqual(kinds, [Send, Refuse, Refuse])
+        world.take(Begun(world.now_ms + 200, effects[0].request.ticket))
+        self.assertIsInstance(world.arrive("/verses/1")[0], Send)
+
+    def test_a_later_epoch_opens_it_too(self):
+        world = self._after_a_fault()
+        for rank in self.RANKS:
+            later = rank._replace(rank=rank.rank._replace(epoch=2))
+            world.take(UpstreamPublished(world.now_ms, later))
+        self.assertIsInstance(world.arrive("/verses/1")[0], Send)
+
+    def test_a_longer_outage_sends_callers_away_for_longer(self):
+        world = self._after_a_fault()
+        waits = []
+        for _ in range(2):
+            (refusal,) = world.arrive("/verses/1", request_id="same")
+            waits.append(refusal.retry_after_ms)
+            world.now_ms += 550
+            world.take(Tick(world.now_ms))
+            world.state = world.state._replace(
+                doubts=world.state.doubts.set(
+                    "g",
+                    world.state.doubts["g"]._replace(
+                        since_ms=world.now_ms - 2_000,
+                        closed_until_ms=world.now_ms + 600,
+                    ),
+                )
+            )
+        self.assertLess(waits[0], waits[1])
+
+
+class PaceTests(unittest.TestCase):
+    """Replay the load that filled every slot and made every stream late."""
+
+    def test_slots_close_while_the_pace_is_over_its_target_and_open_again(self):
+        world = World(upstream("m1", "model", slots=20))
+        for _ in range(8):
+            world.now_ms += 250
+            world.take(PaceMeasured(world.now_ms, "model", 105.0))
+        taken = sum(
+            isinstance(effect, Send)
+            for _ in range(20)
+            for effect in world.arrive("/verses/1")
+        )
+        self.assertLess(taken, 18)
+        self.assertGreaterEqual(taken, 10)
+        for _ in range(20):
+            world.now_ms += 250
+            world.take(PaceMeasured(world.now_ms, "model", 60.0))
+        self.assertEqual(world.state.loads["model"].open_share, 1.0)
+
+    def test_services_without_a_bound_on_pauses_keep_their_slots(self):
+        world = World(upstream("u1"))
+        world.take(PaceMeasured(world.now_ms, "board", 900.0))
+        self.assertNotIn("board", world.state.loads)
+
+
 class ListingTests(unittest.TestCase):
     def test_an_upstream_that_lapsed_with_the_store_is_kept_for_two_seconds(self):
         world = World(upstream("u1"))
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -46,7 +46,7 @@
     cold_multiplier=1.5,
     cold_slack=5.0,
 )
-PATHS = ("/lookups/1", "/pushes/1", "/verses/1")
+PATHS = ("/lookups/1", "/pushes/1", "/drafts/1", "/verses/1")
 FAILURES = (
     NotSent(),
     Declined(),
