Roll expert maps out over a group from the leading entry

Change: the entry with the lowest address samples how often experts are chosen, plans a few copies a layer (replicas share tokens evenly) and rolls the map out: prepare, hold, arm, release, with versions as ballots and a fence fixed for each change.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -31,12 +31,13 @@
 from nutmegslip_decisions.direct._options import Options
 from nutmegslip_decisions.direct._pieces import EventSplitter
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
-from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._state import State, fresh_peers
 from nutmegslip_decisions.direct._types import (
     Account,
     CallerRequest,
     Configuration,
     EngineModel,
+    ExpertLayout,
     GroupRank,
     Request,
     RequestKind,
@@ -64,6 +65,7 @@
     "Errored",
     "Event",
     "EventSplitter",
+    "ExpertLayout",
     "Failure",
     "GroupRank",
     "ListingRead",
@@ -89,6 +91,7 @@
     "UpstreamPublished",
     "UpstreamRemoved",
     "ZonesOut",
+    "fresh_peers",
     "is_ready",
     "load_report",
     "reduce",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -86,6 +86,13 @@
         return self.standings.get(upstream_id, Standing())
 
 
+def fresh_peers(state: State, now_ms: Millis, silent_ms: int) -> list[str]:
+    """Return the entries that were heard within a time."""
+    return [
+        peer for peer, view in state.peers.items() if view.heard_ms + silent_ms > now_ms
+    ]
+
+
 def in_hand_elsewhere(state: State, upstream_id: str, now_ms: Millis) -> int:
     """Return what other entries reported for an upstream, where that is fresh."""
     return sum(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -56,6 +56,18 @@
                 return False
 
 
+class ExpertLayout(NamedTuple):
+    """Size a model's expert layers; ``places`` and ``spare`` are for one rank.
+
+    ``spare`` is how many experts may be new to a rank in one change of the map.
+    """
+
+    layers: int
+    experts: int
+    places: int
+    spare: int
+
+
 class EngineModel(NamedTuple):
     """Give the published cost model of a model engine; times in milliseconds.
 
@@ -71,6 +83,7 @@
     form_group_ms: float
     prompt_tokens: int
     answer_tokens: int
+    layout: ExpertLayout | None = None
 
 
 class Service(NamedTuple):
@@ -113,12 +126,13 @@
 
 
 class GroupRank(NamedTuple):
-    """Place an upstream in its lock-stepped group."""
+    """Place an upstream in its lock-stepped group of ``size`` ranks."""
 
     group: str
     epoch: int
     rank: int
     is_open: bool
+    size: int = 0
 
 
 class Upstream(NamedTuple):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -3,6 +3,8 @@
 from nutmegslip_entry.direct._callers import Connection
 from nutmegslip_entry.direct._dialect import AnswerFields, CallerFields, Dialect
 from nutmegslip_entry.direct._machine import Machine
+from nutmegslip_entry.direct._maps import Counts, RankLayout, Ranks
+from nutmegslip_entry.direct._pool import Pool
 from nutmegslip_entry.direct._program import Program
 from nutmegslip_entry.direct._settings import Settings, SettingsFault, read_settings
 
@@ -10,9 +12,13 @@
     "AnswerFields",
     "CallerFields",
     "Connection",
+    "Counts",
     "Dialect",
     "Machine",
+    "Pool",
     "Program",
+    "RankLayout",
+    "Ranks",
     "Settings",
     "SettingsFault",
     "read_settings",
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_maps.py
@@ -0,0 +1,233 @@
+"""Keep the expert maps of groups in step with what callers ask for.
+
+One entry leads: the lowest address among those that are heard. It samples how often
+experts are chosen, on some ranks only, since each read is a cost to the group.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple, Protocol
+
+import gevent
+
+from nutmegslip_decisions.direct import ExpertLayout, Upstream, fresh_peers
+from nutmegslip_decisions.experts import rollout
+from nutmegslip_decisions.experts.rollout import (
+    Abandoned,
+    Beat,
+    Changed,
+    Give,
+    Group,
+    GroupSeen,
+    LayoutRead,
+    LoadsMeasured,
+    Order,
+    Ordered,
+    Outcome,
+    RankReport,
+    ReadLayout,
+    ReadReports,
+    Reported,
+)
+from nutmegslip_entry.direct._machine import Machine
+from nutmegslip_runtime.eventlog import PacedLog
+
+BEAT_S = 0.1
+COUNTS_EVERY_MS = 1_000  # a shift of popularity lasts some seconds
+SAMPLED_RANKS = 2  # a sixth of a group of 12; the others are taken to be alike
+LEADER_SILENT_MS = 900  # heartbeats come each 500 ms; two leaders do no harm
+HEAR_OTHERS_MS = 2_500  # a new process first hears who else is there
+KEPT_SHARE = 0.3  # of earlier counts, to even out single requests
+
+
+class Counts(NamedTuple):
+    """Hold how often a rank's requests chose each expert, layer after layer."""
+
+    epoch: int
+    chosen: tuple[float, ...]
+
+
+class RankLayout(NamedTuple):
+    """Hold the experts of one rank by layer, under a map's version."""
+
+    epoch: int
+    version: int
+    experts: tuple[tuple[int, ...], ...]
+
+
+class Ranks(Protocol):
+    """Ask ranks and give them orders."""
+
+    def report(self, rank: Upstream) -> RankReport | None:
+        """Return what a rank reports, None without an answer."""
+
+    def counts(self, rank: Upstream) -> Counts | None:
+        """Return a rank's counts, None without an answer."""
+
+    def layout(self, rank: Upstream) -> RankLayout | None:
+        """Return the experts that a rank holds, None without an answer."""
+
+    def give(self, rank: Upstream, epoch: int, fence: int, order: Order) -> Outcome:
+        """Give an order to a rank."""
+
+
+class MapKeeper:
+    """Run one rollout for each group."""
+
+    def __init__(
+        self,
+        machine: Machine,
+        ranks: Ranks,
+        address: str,
+        identity: int,
+        revision: Callable[[], int],
+        log: PacedLog,
+    ) -> None:
+        self._machine = machine
+        self._ranks = ranks
+        self._address = address
+        self._identity = identity
+        self._revision = revision
+        self._log = log
+        self._rollouts: dict[str, rollout.State] = {}
+        self._upstreams: dict[str, Upstream] = {}
+        self._started_ms = machine.clock()
+        self._counted_ms = 0
+        self._counts: dict[str, Counts] = {}
+        self._loads: dict[str, list[float]] = {}
+
+    def run(self) -> None:
+        """Beat until killed."""
+        while True:
+            gevent.sleep(BEAT_S)
+            now_ms = self._machine.clock()
+            leads = self._leads(now_ms)
+            count = leads and now_ms >= self._counted_ms + COUNTS_EVERY_MS
+            if count:
+                self._counted_ms = now_ms
+            fence = self._revision() * rollout.IDENTITIES + self._identity
+            for name, layout, group in self._groups():
+                if name not in self._rollouts:
+                    options = rollout.Options(
+                        self._identity, layout.places, layout.spare
+                    )
+                    self._rollouts[name] = rollout.State(options)
+                self._take(name, GroupSeen(now_ms, group))
+                self._take(name, Beat(now_ms, leads, fence))
+                if count and group is not None:
+                    gevent.spawn(self._measure, name, group, layout)
+
+    def _leads(self, now_ms: int) -> bool:
+        if now_ms < self._started_ms + HEAR_OTHERS_MS:
+            return False
+        peers = fresh_peers(self._machine.state, now_ms, LEADER_SILENT_MS)
+        return all(_order(self._address) < _order(peer) for peer in peers)
+
+    def _groups(self) -> Iterator[tuple[str, ExpertLayout, Group | None]]:
+        """Yield each group with experts; None beside it where it is not whole."""
+        state = self._machine.state
+        services = state.configuration.services if state.configuration else {}
+        self._upstreams.update(state.upstreams)
+        members: dict[str, list[Upstream]] = {}
+        layouts: dict[str, ExpertLayout] = {}
+        for upstream in state.upstreams.values():
+            service = services.get(upstream.service)
+            engine = service.engine if service else None
+            if upstream.rank is not None and engine and engine.layout:
+                members.setdefault(upstream.rank.group, []).append(upstream)
+                layouts[upstream.rank.group] = engine.layout
+        for name, ranks in members.items():
+            yield name, layouts[name], _whole_group(name, ranks)
+
+    def _take(self, name: str, event: rollout.Event) -> None:
+        state, effects = rollout.reduce(self._rollouts[name], event)
+        self._rollouts[name] = state
+        for effect in effects:
+            self._perform(name, effect)
+
+    def _perform(self, name: str, effect: rollout.Effect) -> None:
+        match effect:
+            case Give():
+                gevent.spawn(self._give, name, effect)
+            case ReadReports(group):
+                for rank in group.ranks:
+                    gevent.spawn(self._read_report, name, rank)
+            case ReadLayout(group):
+                gevent.spawn(self._read_layout, name, group)
+            case Changed(version, took_ms, gain):
+                self._log.emit(
+                    "group-map-in-force",
+                    group=name,
+                    version=version,
+                    took_ms=took_ms,
+                    gain=round(gain, 3),
+                )
+            case Abandoned(version, reason):
+                self._log.emit(
+                    "group-map-abandoned", group=name, version=version, reason=reason
+                )
+
+    def _give(self, name: str, give: Give) -> None:
+        outcome = self._ranks.give(
+            self._upstreams[give.rank], give.epoch, give.fence, give.order
+        )
+        now_ms = self._machine.clock()
+        self._take(name, Ordered(now_ms, give.rank, give.epoch, give.order, outcome))
+
+    def _read_report(self, name: str, rank: str) -> None:
+        report = self._ranks.report(self._upstreams[rank])
+        if report is not None:
+            self._take(name, Reported(self._machine.clock(), rank, report))
+
+    def _read_layout(self, name: str, group: Group) -> None:
+        jobs = [
+            gevent.spawn(self._ranks.layout, self._upstreams[rank])
+            for rank in group.ranks
+        ]
+        gevent.joinall(jobs)
+        found = [job.value for job in jobs]
+        if None in found or len({(one.epoch, one.version) for one in found}) > 1:
+            return  # a change is under way, or an answer is missing: asked again
+        layers = range(len(found[0].experts))
+        layout = tuple(tuple(one.experts[layer] for one in found) for layer in layers)
+        epoch, version, _ = found[0]
+        self._take(name, LayoutRead(self._machine.clock(), epoch, version, layout))
+
+    def _measure(self, name: str, group: Group, layout: ExpertLayout) -> None:
+        step = max(len(group.ranks) // SAMPLED_RANKS, 1)
+        recent = [0.0] * (layout.layers * layout.experts)
+        for rank in group.ranks[::step]:
+            counts = self._ranks.counts(self._upstreams[rank])
+            if counts is None or len(counts.chosen) != len(recent):
+                continue
+            last = self._counts.get(rank)
+            self._counts[rank] = counts
+            if last is not None and last.epoch == counts.epoch:
+                pairs = zip(counts.chosen, last.chosen, strict=True)
+                for index, (new, old) in enumerate(pairs):
+                    recent[index] += max(new - old, 0.0)
+        if not any(recent):
+            return
+        old = self._loads.get(name, recent)
+        pairs = zip(recent, old, strict=True)
+        loads = self._loads[name] = [new + KEPT_SHARE * kept for new, kept in pairs]
+        layers = tuple(
+            tuple(loads[start : start + layout.experts])
+            for start in range(0, len(loads), layout.experts)
+        )
+        self._take(name, LoadsMeasured(self._machine.clock(), layers))
+
+
+def _whole_group(name: str, members: list[Upstream]) -> Group | None:
+    ranks = sorted(members, key=lambda upstream: upstream.rank.rank)
+    epochs = {upstream.rank.epoch for upstream in ranks}
+    numbers = [upstream.rank.rank for upstream in ranks]
+    whole = (
+        len(epochs) == 1
+        and all(upstream.rank.is_open for upstream in ranks)
+        and numbers == list(range(ranks[0].rank.size))
+    )
+    return Group(name, epochs.pop(), tuple(u.id for u in ranks)) if whole else None
+
+
+def _order(address: str) -> tuple[int, ...]:
+    return tuple(int(part) for part in address.split("."))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -1,6 +1,7 @@
 """Run an entry that sends directly: callers, store, peers and reducer together."""
 
 import os
+import secrets
 import signal
 from collections.abc import Callable
 from itertools import count
@@ -13,10 +14,12 @@
 
 from nutmegslip_decisions import direct
 from nutmegslip_decisions.direct import Event, OptionsChanged, RequestLimits, Tick
+from nutmegslip_decisions.experts.rollout import IDENTITIES
 from nutmegslip_entry.direct._callers import Caller, Connection
 from nutmegslip_entry.direct._dialect import Dialect
 from nutmegslip_entry.direct._exchange import Exchanges
 from nutmegslip_entry.direct._machine import Machine
+from nutmegslip_entry.direct._maps import MapKeeper, Ranks
 from nutmegslip_entry.direct._meters import Meters
 from nutmegslip_entry.direct._peers import Peers
 from nutmegslip_entry.direct._pool import Pool
@@ -39,11 +42,13 @@
     """Read what is published."""
 
     calls: int
+    revision: int
 
     def run(self) -> None:
         """Read and watch until killed."""
 
 
+RanksMaker = Callable[[Pool, Callable[[], int]], Ranks]
 FeedMaker = Callable[[str, Callable[[Event], None], PacedLog], Feed]
 
 
@@ -51,7 +56,12 @@
     """Hold one life of the entry."""
 
     def __init__(
-        self, file: str, settings: Settings, dialect: Dialect, make_feed: FeedMaker
+        self,
+        file: str,
+        settings: Settings,
+        dialect: Dialect,
+        make_feed: FeedMaker,
+        make_ranks: RanksMaker,
     ) -> None:
         self._file = file
         self._file_changed_ns = _changed_ns(file)
@@ -71,6 +81,14 @@
             lambda: self._settings.seeds,
             lambda reason: self._log.emit("peer-report-refused", reason=reason),
         )
+        self._maps = MapKeeper(
+            self._machine,
+            make_ranks(self._pool, elapsed_ms),
+            settings.peers[0],
+            secrets.randbelow(IDENTITIES - 1) + 1,
+            lambda: self._feed.revision,
+            self._log,
+        )
         self._connections: set[Connection] = set()
         self._stopping = False
         self._stop_asked = Flag()
@@ -84,6 +102,7 @@
             gevent.spawn(self._feed.run),
             gevent.spawn(self._peers.run),
             gevent.spawn(self._tick),
+            gevent.spawn(self._maps.run),
             gevent.spawn(self._measure),
             gevent.spawn(self._each_second),
         ]
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -90,6 +90,22 @@
         "Count them in the metrics; the decisions were made all the same.",
         ("event", "count"),
     ),
+    EventKind(
+        2012,
+        "group-map-in-force",
+        Level.INFO,
+        "Every rank of the group uses a new expert map.",
+        NO_REMEDY,
+        ("group", "version", "took_ms", "gain"),
+    ),
+    EventKind(
+        2013,
+        "group-map-abandoned",
+        Level.WARNING,
+        "A change of a group's expert map was given up; the former map stays.",
+        "If it repeats, look for a rank that leaves orders unanswered.",
+        ("group", "version", "reason"),
+    ),
     EventKind(
         2101,
         "request-sent",
