--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -60,6 +60,7 @@
 PREPARE_TIMEOUT_MS = 6_000
 CHANGE_TIMEOUT_MS = 10_000  # with a second for the switch and late orders
 REST_MS = 300  # between changes
+FENCE_STEP = 100_000  # revisions of the store; no entry reads it that much later
 SETTLE_MS = 1_000  # the lag of reports, twice
 BACKOFF_MS = 2_000
 LEAST_GAIN = 0.15  # of the busiest ranks' work; copying slows passes by 15 in 100
@@ -77,6 +78,7 @@
                     group,
                     last_version=state.last_version,
                     latest_fence=state.latest_fence,
+                    fence_floor=state.fence_floor,
                     leads=state.leads,
                 )
             return state, ()
@@ -273,7 +275,7 @@
     if event.outcome is Outcome.UNKNOWN or isinstance(phase, Resting):
         return state, ()
     if event.outcome is Outcome.FENCED:
-        return _abandon(state, phase.version, "another process leads", event.now_ms)
+        return _fenced(state, phase.version, event.now_ms)
     done = event.outcome is Outcome.DONE
     if done and isinstance(phase, Preparing):
         # The copies take their time; the reports tell when they are there.
@@ -302,6 +304,14 @@
     return state, ()
 
 
+def _fenced(state: State, version: int, now_ms: Millis) -> Step:
+    """Rest, and be above the other process next time: it may be frozen."""
+    state, effects = _abandon(state, version, "another process leads", now_ms)
+    floor = state.fence + FENCE_STEP * IDENTITIES
+    resting = Resting(now_ms + SETTLE_MS)
+    return state._replace(phase=resting, fence_floor=floor), effects
+
+
 def _held(state: State, phase: Holding, done: bool, now_ms: Millis) -> Step:
     if not done:
         # The pass has begun, or another is held: see what the ranks report.
@@ -349,7 +359,8 @@
 
 
 def _started(state: State, phase: Phase) -> State:
-    return _into(state._replace(fence=state.latest_fence), phase)
+    fence = max(state.latest_fence, state.fence_floor)
+    return _into(state._replace(fence=fence), phase)
 
 
 def _into(state: State, phase: Phase) -> State:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -107,6 +107,7 @@
     ``given`` is when an order was last given to a rank in this phase. ``fence`` is
     the number of the change under way: whoever begins later has a higher one, so
     that an order of an older change is refused where a newer one has been.
+    ``fence_floor`` is above what this process was refused with.
     """
 
     options: Options
@@ -119,5 +120,6 @@
     last_version: int = 0
     fence: int = 0
     latest_fence: int = 0
+    fence_floor: int = 0
     leads: bool = False
     asked_ms: Millis = 0
--- a/tests/test_experts_rollout.py
+++ b/tests/test_experts_rollout.py
@@ -45,6 +45,7 @@
         self.asleep_until_ms = 0
         self.backlog = []
         self.leads = True
+        self.fence_lag_ms = 0
 
 
 class World:
@@ -88,7 +89,8 @@
         process.backlog.clear()
         group = Group("g", self.ranks.epoch, NAMES)
         self._take(process, GroupSeen(self.now_ms, group))
-        fence = self.now_ms * IDENTITIES + process.state.options.identity
+        fenced_ms = self.now_ms - process.fence_lag_ms
+        fence = fenced_ms * IDENTITIES + process.state.options.identity
         self._take(process, Beat(self.now_ms, process.leads, fence))
         hot = self.random.randrange(EXPERTS)
         loads = tuple(10.0 if e == hot else 1.0 for e in range(EXPERTS))
@@ -176,6 +178,19 @@
         self.assertEqual(world.seen["held"], 0)
         self.assertNotEqual(world.ranks.ranks[0].layout, FIRST_MAP)
 
+    def test_a_lead_is_taken_over_also_with_a_lower_fence(self):
+        world = World(1, trouble=0.0)
+        first, second = world.processes
+        second.leads = False
+        while not any(rank.held for rank in world.ranks.ranks):
+            world.beat()
+        first.asleep_until_ms = world.now_ms + 60_000
+        first.leads, second.leads = False, True
+        second.fence_lag_ms = 20_000
+        world.run(80)
+        self.assertLess(world.seen["held"], 30)
+        self.assertGreater(world.seen["changed"], 0)
+
     @given(seed=st.integers(0, 2**32), trouble=st.sampled_from((0.1, 0.3, 0.6)))
     @settings(max_examples=120, suppress_health_check=list(HealthCheck))
     def test_no_pass_begins_with_two_maps_and_none_is_held_for_good(
