--- /dev/null
+++ b/bench/capacity_direct.py
@@ -0,0 +1,97 @@
+"""Measure what direct serving costs an entry as upstreams and peers grow."""
+
+import json
+import pathlib
+import time
+from collections.abc import Callable
+
+import cbor2
+import defopt
+from immutables import Map
+
+from nutmegslip_decisions import direct
+from nutmegslip_decisions.direct import (
+    Arrived,
+    Begun,
+    CallerRequest,
+    Configuration,
+    ConfigurationPublished,
+    Ended,
+    ListingRead,
+    Options,
+    PeerReported,
+    RequestKind,
+    RequestLimits,
+    Route,
+    Service,
+    State,
+    Target,
+    Upstream,
+)
+
+UPSTREAMS = (12, 45, 150, 450)
+REQUESTS = 200
+IN_HAND = 50
+
+
+def main(*, out: pathlib.Path = pathlib.Path("bench/capacity-direct.json")) -> int:
+    """Write milliseconds a request, a peer's report and a changed listing.
+
+    :param out: file for the figures
+    """
+    figures = [_measure(count) for count in UPSTREAMS]
+    out.write_text(json.dumps(figures, indent=1) + "\n")
+    print(out.read_text(), end="")
+    return 0
+
+
+def _measure(count: int) -> dict[str, float]:
+    state = _state(count)
+    in_hand = Map({f"u{number}": 1 for number in range(min(count, IN_HAND))})
+    for peer in range(3):
+        state, _ = direct.reduce(state, PeerReported(0, f"peer-{peer}", in_hand))
+    report = PeerReported(0, "peer-1", in_hand)
+    changed = direct.UpstreamPublished(0, _upstream(0)._replace(slots=11))
+    return {
+        "upstreams": count,
+        "request_ms": _timed(lambda number: _serve(state, number)),
+        "peer_report_ms": _timed(lambda _: direct.reduce(state, report)),
+        "listing_change_ms": _timed(lambda _: direct.reduce(state, changed)),
+        "peer_report_bytes": len(cbor2.dumps([dict(in_hand), []])),
+    }
+
+
+def _state(count: int) -> State:
+    route = Route(
+        "r", "h", "/", RequestKind.IDEMPOTENT, 8_000, 400, 1, (Target("s", 1),)
+    )
+    configuration = Configuration(
+        1, (route,), Map({"s": Service("s", cold_per_s=28.0)}), RequestLimits(), None
+    )
+    state, _ = direct.reduce(
+        State(Options("entry")), ConfigurationPublished(0, configuration)
+    )
+    upstreams = tuple(_upstream(number) for number in range(count))
+    return direct.reduce(state, ListingRead(0, upstreams))[0]
+
+
+def _upstream(number: int) -> Upstream:
+    return Upstream(f"u{number}", "s", "127.0.0.1", 9_000, "a", slots=12)
+
+
+def _serve(state: State, number: int) -> None:
+    asked = CallerRequest(number, f"r{number}", "h", "/x", None, None)
+    state, _ = direct.reduce(state, Arrived(number, asked))
+    state, _ = direct.reduce(state, Begun(number, number))
+    direct.reduce(state, Ended(number, number, answered=True))
+
+
+def _timed(call: Callable[[int], object]) -> float:
+    started = time.process_time()
+    for number in range(REQUESTS):
+        call(number)
+    return round((time.process_time() - started) / REQUESTS * 1_000, 4)
+
+
+if __name__ == "__main__":
+    raise SystemExit(defopt.run(main))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_meters.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_meters.py
@@ -35,7 +35,7 @@
             "nutmegslip_store_calls", "Calls to the store.", registry=self.registry
         )
         self._version = Gauge(
-            "nutmegslip_configuration_version",
+            "nutmegslip_version_in_force",
             "The version in force.",
             registry=self.registry,
         )
