Name the request in the line of a refusal on arrival

Cause: a request refused as it arrived was already forgotten when its line was written, so the line had no id and an on-call engineer could not find it. Ruled out: keeping refused requests in the state.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -2,6 +2,7 @@
 
 from nutmegslip_entry.direct._callers import Connection
 from nutmegslip_entry.direct._dialect import AnswerFields, CallerFields, Dialect
+from nutmegslip_entry.direct._journal import lines_of
 from nutmegslip_entry.direct._machine import Machine
 from nutmegslip_entry.direct._maps import Counts, RankLayout, Ranks
 from nutmegslip_entry.direct._pool import Pool
@@ -21,5 +22,6 @@
     "Ranks",
     "Settings",
     "SettingsFault",
+    "lines_of",
     "read_settings",
 ]
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_journal.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_journal.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from nutmegslip_decisions.direct import (
+    Arrived,
     AttemptFailed,
     ConfigurationPublished,
     DeliverFailure,
@@ -91,10 +92,14 @@
                         "attempts": request.sends,
                     },
                 )
-    yield from (line for effect in effects for line in _decided(effect, before, after))
+    yield from (
+        line for effect in effects for line in _decided(effect, event, before, after)
+    )
 
 
-def _decided(effect: Effect, before: State, after: State) -> Iterator[Line]:
+def _decided(
+    effect: Effect, event: Event, before: State, after: State
+) -> Iterator[Line]:
     configuration = after.configuration
     version = configuration.version if configuration else 0
     match effect:
@@ -112,20 +117,27 @@
                 },
             )
         case Refuse(ticket, kind, ran, retry_after_ms):
-            request = before.requests.get(ticket)
             yield Line(
                 "request-refused",
-                request.request_id if request else "",
+                _request_id(event, before, ticket),
                 {
                     "kind": str(kind),
                     "ran": ran,
                     "retry_after_ms": retry_after_ms,
                     "version": version,
+                    "waiting": sum(len(queue) for queue in before.waiting.values()),
+                    "in_hand": len(before.requests),
                 },
             )
         case DeliverFailure(ticket):
-            request = before.requests.get(ticket)
-            yield Line("failure-delivered", request.request_id if request else "", {})
+            yield Line("failure-delivered", _request_id(event, before, ticket), {})
+
+
+def _request_id(event: Event, before: State, ticket: int) -> str:
+    if isinstance(event, Arrived) and event.request.ticket == ticket:
+        return event.request.request_id
+    request = before.requests.get(ticket)
+    return request.request_id if request else ""
 
 
 def _line(name: str, **fields: Value) -> Line:
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -120,7 +120,7 @@
         Level.WARNING,
         "The request was refused by the entry.",
         "Explain the kind that the line carries.",
-        ("kind", "ran", "retry_after_ms", "version"),
+        ("kind", "ran", "retry_after_ms", "version", "waiting", "in_hand"),
     ),
     EventKind(
         2103,
