--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -206,6 +206,37 @@
     DEADLINE = "deadline"
     BROKEN = "broken"
 
+    @property
+    def status(self) -> int:
+        """Return the HTTP status; 503 promises that the request has not run."""
+        return _STATUSES.get(self, 503)
+
+    @property
+    def remedy(self) -> str:
+        """Return what an operator can do about it."""
+        return _REMEDIES[self]
+
+
+_STATUSES = {
+    RefusalKind.NO_ROUTE: 404,
+    RefusalKind.UNKNOWN_KEY: 401,
+    RefusalKind.BROKEN: 502,
+}
+_REMEDIES = {
+    RefusalKind.NO_CONFIGURATION: "Check the path to the store; none was read yet.",
+    RefusalKind.NO_ROUTE: "Compare host and path with the routes in force.",
+    RefusalKind.UNKNOWN_KEY: "Compare the key with those in force.",
+    RefusalKind.NO_UPSTREAM: "Look for upstreams that left, zones that are out, or a "
+    "group with a rank at fault, in the lines before.",
+    RefusalKind.OVERLOADED: "Add upstreams, or look for slow ones; the caller was told "
+    "when to return.",
+    RefusalKind.DECLINED: "Look at the upstreams of the request's attempts; each said "
+    "that it has not run it.",
+    RefusalKind.DEADLINE: "Look for what held the slots while the request waited.",
+    RefusalKind.BROKEN: "Look at the upstream of the failed attempt; it may have run "
+    "the request.",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class Send:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -16,7 +16,6 @@
     EventSplitter,
     Failure,
     NotSent,
-    RefusalKind,
     Refuse,
     Request,
     RequestKind,
@@ -42,17 +41,6 @@
 FIRST_FAILURE_STATUS = 500
 SUCCESS = range(200, 300)
 
-_STATUSES = {
-    RefusalKind.NO_CONFIGURATION: 503,
-    RefusalKind.NO_ROUTE: 404,
-    RefusalKind.UNKNOWN_KEY: 401,
-    RefusalKind.NO_UPSTREAM: 503,
-    RefusalKind.OVERLOADED: 503,
-    RefusalKind.DECLINED: 503,
-    RefusalKind.DEADLINE: 503,
-    RefusalKind.BROKEN: 502,
-}
-
 
 @dataclass(frozen=True, slots=True)
 class _Whole:
@@ -152,7 +140,7 @@
         if self._caller.streaming:
             self._caller.abort()
             return
-        status = _STATUSES[refusal.kind]
+        status = refusal.kind.status
         if refusal.ran:
             late = arrival.caller_deadline_ms
             passed = late is not None and late <= self._machine.clock()
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_explain.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_explain.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from nutmegslip_decisions import direct
 from nutmegslip_decisions.work import FailureKind, RefusalKind, remedy_of, status_of
 from nutmegslip_runtime.eventlog._catalogue import EVENTS, event_named, event_numbered
 from nutmegslip_runtime.eventlog._kinds import EventKind
@@ -33,7 +34,7 @@
     document with or without its prefix, or the kind of a refused attempt.
     """
     wanted = topic.strip().removeprefix(_PROBLEM_PREFIX)
-    parts = (_event(wanted), _failure(wanted), _refusal(wanted))
+    parts = (_event(wanted), _failure(wanted), _refusal(wanted), _direct(wanted))
     known = [part for part in parts if part]
     return Ok("\n\n".join(known)) if known else Error(_unknown(topic, wanted))
 
@@ -74,6 +75,16 @@
     )
 
 
+def _direct(wanted: str) -> str | None:
+    if wanted not in set(direct.RefusalKind):
+        return None
+    kind = direct.RefusalKind(wanted)
+    return (
+        f"{kind}: an entry that sends directly refused a request (HTTP {kind.status})\n"
+        f"Remedy: {kind.remedy}"
+    )
+
+
 def _unknown(topic: str, wanted: str) -> UnknownTopic:
     names = [kind.name for kind in EVENTS] + [str(kind) for kind in FailureKind]
     return UnknownTopic(topic, tuple(difflib.get_close_matches(wanted, names)))
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -7,6 +7,7 @@
 import sys
 import unittest
 
+from nutmegslip_decisions import direct
 from nutmegslip_decisions.notes import Note, NoteKind
 from nutmegslip_decisions.work import FailureKind, RefusalKind, remedy_of, status_of
 from nutmegslip_runtime.eventlog import (
@@ -87,6 +88,7 @@
             *(kind.name for kind in EVENTS),
             *map(str, FailureKind),
             *map(str, RefusalKind),
+            *map(str, direct.RefusalKind),
             "urn:nutmegslip:problem:overloaded",
         ]
         for topic in topics:
