Send callers away for long in an outage; use the counts of a new epoch at once

Cause: a caller comes back once, and those told to return after 1.2 s met the same outage; after a group had formed again its first map stayed until two counts had been read. Ruled out: holding requests through an outage; its end is not known.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_groups.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_groups.py
@@ -16,10 +16,8 @@
     """Close the group of an upstream for the time that it takes to form."""
     if upstream.rank is None:
         return state
-    old = state.doubts.get(upstream.rank.group)
     doubt = GroupDoubt(
         epoch=upstream.rank.epoch,
-        since_ms=old.since_ms if old else now_ms,
         closed_until_ms=now_ms + REST_MS,
     )
     return state._replace(doubts=state.doubts.set(upstream.rank.group, doubt))
@@ -45,17 +43,6 @@
     return now_ms >= doubt.closed_until_ms and not _in_hand(state, rank.group)
 
 
-def down_since_ms(state: State, service: str) -> Millis | None:
-    """Return since when the groups of a service are doubted, None where none is."""
-    since = [
-        doubt.since_ms
-        for upstream_id in state.by_service.get(service, ())
-        if (rank := state.upstreams[upstream_id].rank) is not None
-        and (doubt := state.doubts.get(rank.group)) is not None
-    ]
-    return min(since, default=None)
-
-
 def _in_hand(state: State, group: str) -> int:
     return sum(
         state.standing(upstream.id).in_hand
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -47,14 +47,13 @@
 
 
 class GroupDoubt(NamedTuple):
-    """Hold why a group is not trusted: a rank at fault, and since when.
+    """Hold the epoch in which a group had a rank at fault.
 
     Until ``closed_until_ms`` nothing is sent; then one request at a time, until
     one is answered or the group is published in a later epoch.
     """
 
     epoch: int
-    since_ms: Millis
     closed_until_ms: Millis
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
@@ -11,7 +11,6 @@
 
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._choice import slots_of
-from nutmegslip_decisions.direct._groups import down_since_ms
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
 from nutmegslip_decisions.model import Millis
@@ -19,7 +18,7 @@
 LEAST_RETURN_MS = 200  # below it a return meets the same queue
 RETURN_SPREAD_MS = 1_500  # refused callers come back over the length of a burst
 RETURN_SHARE = 1 / 3  # of the time left; callers wait no longer than that
-FIRST_OUTAGE_MS = 1_200  # the least time in which a lost upstream is back
+OUTAGE_SPREAD = 0.3  # of the latest return
 
 
 def enqueue(state: State, request: Request) -> State:
@@ -64,17 +63,15 @@
 def return_after_ms(state: State, request: Request, now_ms: Millis) -> int:
     """Return when a refused caller may best come back.
 
-    Where nothing can be served, an outage is taken to last as long again as it
-    has lasted; else the queue tells. Returns are spread, so that callers do not
-    come together, and leave two thirds of the caller's time for the answer.
+    A caller comes back once. While nothing can be served it is told to come as late
+    as it will wait, since an outage may well last as long again; else the queue
+    tells. Returns are spread, so that callers do not come together.
     """
-    wait_ms = predicted_wait_ms(state, request, now_ms)
-    if wait_ms is None:
-        since_ms = down_since_ms(state, request.service)
-        age_ms = now_ms - since_ms if since_ms is not None else 0
-        wait_ms = max(age_ms, FIRST_OUTAGE_MS)
     spread = xxhash.xxh3_64_intdigest(request.request_id.encode()) % 1_000 / 1_000
     latest_ms = (request.deadline_ms - now_ms) * RETURN_SHARE
+    wait_ms = predicted_wait_ms(state, request, now_ms)
+    if wait_ms is None:
+        return max(int(latest_ms * (1 - OUTAGE_SPREAD * spread)), 1)
     after_ms = max(wait_ms, LEAST_RETURN_MS) + spread * RETURN_SPREAD_MS
     if after_ms > latest_ms:
         after_ms = latest_ms * (1 + spread) / 2
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_maps.py
@@ -4,6 +4,7 @@
 experts are chosen, on some ranks only, since each read is a cost to the group.
 """
 
+import itertools
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
 
@@ -201,10 +202,13 @@
                 continue
             last = self._counts.get(rank)
             self._counts[rank] = counts
-            if last is not None and last.epoch == counts.epoch:
-                pairs = zip(counts.chosen, last.chosen, strict=True)
-                for index, (new, old) in enumerate(pairs):
-                    recent[index] += max(new - old, 0.0)
+            # A rank that started anew counts from nothing.
+            known = last is not None and last.epoch == counts.epoch
+            before = last.chosen if known else itertools.repeat(0.0)
+            for index, (new, old) in enumerate(
+                zip(counts.chosen, before, strict=False)
+            ):
+                recent[index] += max(new - old, 0.0)
         if not any(recent):
             return
         old = self._loads.get(name, recent)
