--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,10 @@
 
 check: lint test
 
-# Start fakes and both programs, send requests of both kinds, print a summary.
+# Run a small site of both programs, then the entry on the platform's path.
 demo: setup
 	$(PYTHON) -m bench.demo
+	$(PYTHON) -m bench.demo_direct
 
 lock: setup
 	cd requirements && for name in platform runtime dev; do \
--- /dev/null
+++ b/bench/demo_direct.py
@@ -0,0 +1,63 @@
+"""Run one entry on the platform's path and send requests of every kind."""
+
+import signal
+import sys
+from collections import Counter
+
+import defopt
+import gevent
+
+from bench.direct_site import Site, published, route
+
+KINDS = (("lookups", "GET"), ("pushes", "POST"), ("verses", "POST"))
+ROUNDS = 20
+PUBLISH_S = 0.3  # the stand-in's watch answers at once
+STOP_S = 10.0
+
+
+def main() -> int:
+    """Serve, change the configuration, drain an upstream, stop; print the answers."""
+    site = Site()
+    try:
+        return _run(site)
+    finally:
+        site.close()
+
+
+def _run(site: Site) -> int:
+    site.publish(published(1))
+    for name in ("b1", "b2"):
+        site.add(name, "board")
+    for name in ("m1", "m2"):
+        site.add(name, "model", events=6)
+    site.start()
+    answers: Counter[str] = Counter()
+    _send(site, answers, "calm")
+    site.list("b1", "board", state="draining")
+    site.publish(published(2, route("lookups", "board", "idempotent", attempts=2)))
+    gevent.sleep(PUBLISH_S)
+    _send(site, answers, "one route left", expected=(200, 404, 404))
+    site.signal(signal.SIGTERM)
+    code = site.wait_end(STOP_S)
+    for line, count in sorted(answers.items()):
+        print(f"{line}: {count}")
+    print(f"stopped with code {code}")
+    return 1 if code or any("unexpected" in line for line in answers) else 0
+
+
+def _send(
+    site: Site,
+    answers: Counter[str],
+    phase: str,
+    expected: tuple[int, ...] = (200, 200, 200),
+) -> None:
+    for number in range(ROUNDS):
+        for (kind, method), status in zip(KINDS, expected, strict=True):
+            reply = site.ask(f"/{kind}/{number}", method=method)
+            fits = reply.whole and reply.status == status
+            note = "" if fits else ", unexpected"
+            answers[f"{phase}, {kind}, {reply.status}{note}"] += 1
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_maps.py
@@ -33,7 +33,7 @@
 from nutmegslip_runtime.eventlog import PacedLog
 
 BEAT_S = 0.1
-COUNTS_EVERY_MS = 1_000  # a shift of popularity lasts some seconds
+COUNTS_EVERY_MS = 1_500  # a shift of popularity lasts some seconds
 SAMPLED_RANKS = 2  # a sixth of a group of 12; the others are taken to be alike
 LEADER_SILENT_MS = 900  # heartbeats come each 500 ms; two leaders do no harm
 HEAR_OTHERS_MS = 2_500  # a new process first hears who else is there
--- a/tests/test_direct_processes.py
+++ b/tests/test_direct_processes.py
@@ -6,10 +6,10 @@
 
 import gevent
 
+from bench.direct_site import ANSWER_MS, KEY, Site, published, route
 from fakes.runners import Fault
 from nutmegslip_runtime.clock import elapsed_ms
 from nutmegslip_runtime.http1 import encode_request
-from tests.direct_site import ANSWER_MS, KEY, Site, published, route
 
 
 class DirectTestCase(unittest.TestCase):
