Split the two large reducers by concern

Change: moved functions only: placing, lives and events of direct serving; steps, orders, answers and phases of a rollout. No behaviour changes. Before and after: the same tests pass.

--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_placing.py
@@ -0,0 +1,110 @@
+"""Send requests, let them wait, or refuse them."""
+
+from nutmegslip_decisions.direct._budget import count_repeat
+from nutmegslip_decisions.direct._choice import choose, rooms_of
+from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
+from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._types import Request
+from nutmegslip_decisions.direct._waiting import (
+    dequeue,
+    enqueue,
+    predicted_wait_ms,
+    return_after_ms,
+    wait_until_ms,
+)
+from nutmegslip_decisions.model import Millis
+
+Step = tuple[State, tuple[Effect, ...]]
+
+
+def place(state: State, request: Request, now_ms: Millis) -> Step:
+    """Send a request, let it wait, or refuse it at once."""
+    if not state.waiting.get(request.service):
+        upstream = choose(state, request, now_ms)
+        if upstream is not None:
+            return send(state, request, upstream.id, now_ms)
+    wait_ms = predicted_wait_ms(state, request, now_ms)
+    if wait_ms is None:
+        return give_up(state, request, RefusalKind.NO_UPSTREAM, now_ms)
+    if not request.streaming and now_ms + wait_ms > wait_until_ms(state, request):
+        return give_up(state, request, RefusalKind.OVERLOADED, now_ms)
+    return enqueue(state, request), ()
+
+
+def send(state: State, request: Request, upstream_id: str, now_ms: Millis) -> Step:
+    """Send a request, and count it where it goes."""
+    upstream = state.upstreams[upstream_id]
+    if request.reached:
+        state = count_repeat(state, request.service, now_ms)
+    sent = request._replace(
+        upstream=upstream_id,
+        sent_at_ms=now_ms,
+        tried=request.tried | {upstream_id},
+        sends=request.sends + 1,
+    )
+    standing = state.standing(upstream_id)
+    busier = standing._replace(
+        in_hand=standing.in_hand + 1, sent=standing.sent.add(now_ms)
+    )
+    state = state._replace(
+        requests=state.requests.set(request.ticket, sent),
+        standings=state.standings.set(upstream_id, busier),
+    )
+    return state, (Send(sent, upstream),)
+
+
+def dispatch_all(state: State, now_ms: Millis) -> Step:
+    """Send those who wait for any service."""
+    effects: tuple[Effect, ...] = ()
+    for service, queue in state.waiting.items():
+        if queue:
+            state, more = dispatch(state, service, now_ms)
+            effects += more
+    return state, effects
+
+
+def dispatch(state: State, service: str, now_ms: Millis) -> Step:
+    """Send those who wait, most urgent first, while there is room."""
+    effects: tuple[Effect, ...] = ()
+    for ticket in state.waiting.get(service, ()):
+        request = state.requests[ticket]
+        if request.deadline_ms <= now_ms:
+            continue  # this process was frozen; the next tick refuses it
+        upstream = choose(state, request, now_ms)
+        if upstream is None:
+            if not rooms_of(state, service, now_ms):
+                break
+            continue
+        state = dequeue(state, request)
+        state, sent = send(state, request, upstream.id, now_ms)
+        effects += sent
+    return state, effects
+
+
+def refuse_overdue(state: State, now_ms: Millis) -> Step:
+    """Refuse those for whom a slot would come too late."""
+    effects: tuple[Effect, ...] = ()
+    for ticket in [ticket for queue in state.waiting.values() for ticket in queue]:
+        request = state.requests[ticket]
+        if request.deadline_ms <= now_ms:
+            kind = RefusalKind.DEADLINE
+        elif wait_until_ms(state, request) <= now_ms and not request.streaming:
+            kind = RefusalKind.OVERLOADED
+        else:
+            continue
+        state, more = give_up(state, request, kind, now_ms)
+        effects += more
+    return state, effects
+
+
+def give_up(state: State, request: Request, kind: RefusalKind, now_ms: Millis) -> Step:
+    """Refuse a request, with the time to come back where it has not run."""
+    ran = request.may_have_run
+    wait_ms = 0 if ran else return_after_ms(state, request, now_ms)
+    return forget(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
+
+
+def forget(state: State, request: Request) -> State:
+    """Take a request out of the state."""
+    state = dequeue(state, request)
+    return state._replace(requests=state.requests.delete(request.ticket))
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
@@ -1,7 +1,8 @@
 """Roll a new expert map out over a group's ranks, by orders from one process."""
 
-from nutmegslip_decisions.experts.rollout._reduce import IDENTITIES, reduce
+from nutmegslip_decisions.experts.rollout._reduce import reduce
 from nutmegslip_decisions.experts.rollout._state import Options, Resting, State
+from nutmegslip_decisions.experts.rollout._steps import IDENTITIES
 from nutmegslip_decisions.experts.rollout._types import (
     Abandoned,
     Arm,
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_orders.py
@@ -0,0 +1,58 @@
+"""Tell which orders a phase still has to give."""
+
+from collections.abc import Iterator
+
+from nutmegslip_decisions.experts.rollout._state import (
+    Arming,
+    Clearing,
+    Holding,
+    Preparing,
+    Releasing,
+    State,
+)
+from nutmegslip_decisions.experts.rollout._steps import report_of
+from nutmegslip_decisions.experts.rollout._types import (
+    Arm,
+    Disarm,
+    Hold,
+    Order,
+    Prepare,
+    Release,
+)
+
+
+def orders_of(state: State) -> Iterator[tuple[str, Order]]:
+    """Yield the orders that are still to be confirmed in this phase."""
+    ranks = state.group.ranks
+    match state.phase:
+        case Preparing(version, layout):
+            for rank in ranks:
+                if report_of(state, rank) is None or (
+                    report_of(state, rank).prepared != version
+                ):
+                    yield rank, Prepare(version, layout)
+        case Holding(holder=holder, step=step):
+            yield holder, Hold(step)
+        case Arming(version=version, step=step, armed=armed):
+            for rank in ranks:
+                if rank not in armed:
+                    yield rank, Arm(version, step)
+        case Releasing(held=held):
+            for rank, step in held.items():
+                yield rank, Release(step)
+        case Clearing(version, _, held, fenced, cleared):
+            unfenced = [rank for rank in held if rank not in fenced]
+            if unfenced:
+                for rank in unfenced:
+                    yield rank, Hold(held[rank])
+                return
+            for rank in ranks:
+                if rank not in cleared:
+                    yield rank, _clear(state, rank, version)
+
+
+def _clear(state: State, rank: str, version: int) -> Order:
+    report = report_of(state, rank)
+    if report is not None and report.armed is not None:
+        return Disarm(report.armed[0])
+    return Prepare(version, state.layout)
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_steps.py
@@ -0,0 +1,76 @@
+"""Move between phases, and read what ranks reported."""
+
+from immutables import Map
+
+from nutmegslip_decisions.experts.rollout._state import Phase, Resting, State
+from nutmegslip_decisions.experts.rollout._types import (
+    Abandoned,
+    Effect,
+    Group,
+    RankReport,
+)
+from nutmegslip_decisions.model import Millis
+
+Step = tuple[State, tuple[Effect, ...]]
+IDENTITIES = 65_536
+FRESH_MS = 1_400  # older reports decide nothing; covers one missed reading at rest
+BACKOFF_MS = 2_000
+
+
+def started(state: State, phase: Phase) -> State:
+    """Begin a change with the fence of this moment."""
+    fence = max(state.latest_fence, state.fence_floor)
+    return into(state._replace(fence=fence), phase)
+
+
+def into(state: State, phase: Phase) -> State:
+    """Enter a phase; its orders are all due."""
+    return state._replace(phase=phase, given=Map(), asked_ms=0)
+
+
+def with_phase(state: State, phase: Phase) -> State:
+    """Stay in a phase that has come further."""
+    return state._replace(phase=phase)
+
+
+def abandon(state: State, version: int, reason: str, now_ms: Millis) -> Step:
+    """Rest, and believe nothing that was read before."""
+    resting = into(state, Resting(now_ms + BACKOFF_MS))
+    # What was ordered may still come about, so old reports decide nothing.
+    unsure = resting._replace(reports=Map(), layout=None)
+    return unsure, (Abandoned(version, reason),)
+
+
+def report_of(state: State, rank: str) -> RankReport | None:
+    """Return what a rank reported last."""
+    found = state.reports.get(rank)
+    return found[1] if found else None
+
+
+def fresh_reports(state: State, now_ms: Millis) -> list[RankReport] | None:
+    """Return the reports in rank order, None where one is missing or old."""
+    group: Group = state.group
+    found = [state.reports.get(rank) for rank in group.ranks]
+    if any(item is None or item[0] + FRESH_MS < now_ms for item in found):
+        return None
+    return [report for _, report in found]
+
+
+def is_quiet(state: State, now_ms: Millis) -> bool:
+    """Return whether no rank is armed or holds a pass."""
+    reports = fresh_reports(state, now_ms)
+    return reports is not None and all(
+        report.held is None and report.armed is None for report in reports
+    )
+
+
+def next_version(state: State) -> int:
+    """Return a version above all that were seen, which no other process gives."""
+    seen = [
+        version
+        for _, report in state.reports.values()
+        for version in (report.version, report.prepared, (report.armed or (0,))[0])
+        if version is not None
+    ]
+    highest = max((state.last_version, *seen))
+    return (highest // IDENTITIES + 1) * IDENTITIES + state.options.identity
