--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
@@ -18,4 +18,3 @@
     cold_multiplier: float = 1.0
     cold_slack: float = 0.0
     rejoin_ms: int = 2_000
-    stall_ms: int = 1_500
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -39,7 +39,6 @@
     cold_multiplier: NotRequired[float]
     cold_slack: NotRequired[float]
     stop_grace_s: NotRequired[float]
-    stall_ms: NotRequired[float]
 
 
 class _File(TypedDict):
@@ -115,7 +114,6 @@
         budget_slack=bounds.get("budget_slack", usual.budget_slack),
         cold_multiplier=bounds.get("cold_multiplier", usual.cold_multiplier),
         cold_slack=bounds.get("cold_slack", usual.cold_slack),
-        stall_ms=int(bounds.get("stall_ms", usual.stall_ms)),
     )
 
 
