Log why a call failed; take out what nothing used

Ruled out: a metric for each reason (the line carries it); keeping gone ranks in the map keeper (orders go to the members of the last whole group).

Before: NS2103 said "Broken"; NS2001 nothing; a rank's garbled answer left no line.

--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -14,12 +14,12 @@
     RequestReader,
     encode_chunk,
     encode_head,
+    reset_on_close,
 )
 
 ID, SEAL = b"X-Nutmegslip-Request-Id", b"X-Nutmegslip-Response-Seal"
 EXPECTED = b"x-nutmegslip-expect-instance"
 NOT_RUN = (b"X-Nutmegslip-Not-Executed", b"1")
-RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
 
 
 class Runner:
@@ -95,7 +95,7 @@
             case Fault.SILENT:
                 gevent.sleep(60)
             case Fault.RESET:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                reset_on_close(sock)
                 raise OSError("reset by order of a test")
             case Fault.RUBBISH:
                 sock.sendall(b"\x00\x01\x02 rubbish\r\n\r\n")
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -33,14 +33,33 @@
         return self.in_hand >= self.upstream.slots
 
 
-def choose(state: State, request: Request, now_ms: Millis) -> Upstream | None:
+class Capacity(NamedTuple):
+    """Tell what a service can take now.
+
+    ``rooms`` are the upstreams that may be sent a request; ``slots`` counts the open
+    slots of all that may be used, those at their cold bound included.
+    """
+
+    rooms: tuple[Room, ...]
+    slots: float
+    open_share: float
+
+    @property
+    def has_open_slot(self) -> bool:
+        """Return whether the service is below the share of slots that is open."""
+        slots = sum(room.upstream.slots for room in self.rooms)
+        return sum(room.in_hand for room in self.rooms) < slots * self.open_share
+
+
+def choose(
+    state: State, capacity: Capacity, request: Request, now_ms: Millis
+) -> Upstream | None:
     """Return the least loaded upstream with a free slot, or None to wait."""
-    every = rooms_of(state, request.service, now_ms)
-    if not has_open_slot(state, request.service, every):
+    if not capacity.has_open_slot:
         return None
     rooms = [
         room
-        for room in every
+        for room in capacity.rooms
         if room.upstream.id not in request.tried and not room.is_full
     ]
     if not rooms:
@@ -50,30 +69,21 @@
     return best.upstream
 
 
-def rooms_of(state: State, service: str, now_ms: Millis) -> tuple[Room, ...]:
-    """Return the upstreams of a service that may be sent a request now."""
+def capacity_of(state: State, service: str, now_ms: Millis) -> Capacity:
+    """Return what a service can take now."""
     cold_limit = cold_share(state, service)
-    return tuple(
-        Room(upstream, in_hand)
-        for upstream, standing in _usable(state, service, now_ms)
-        if cold_limit is None or standing.sent.count(now_ms) < cold_limit
-        for in_hand in (
+    usable = tuple(_usable(state, service, now_ms))
+    open_share = load_of(state, service).open_share
+    rooms = tuple(
+        Room(
+            upstream,
             standing.in_hand + in_hand_elsewhere(state, upstream.id, now_ms),
         )
+        for upstream, standing in usable
+        if cold_limit is None or standing.sent.count(now_ms) < cold_limit
     )
-
-
-def has_open_slot(state: State, service: str, rooms: tuple[Room, ...]) -> bool:
-    """Return whether the service is below the share of slots that is open."""
-    slots = sum(room.upstream.slots for room in rooms)
-    taken = sum(room.in_hand for room in rooms)
-    return taken < slots * load_of(state, service).open_share
-
-
-def slots_of(state: State, service: str, now_ms: Millis) -> float:
-    """Return the open slots of all upstreams that may be used."""
-    slots = sum(upstream.slots for upstream, _ in _usable(state, service, now_ms))
-    return slots * load_of(state, service).open_share
+    slots = sum(upstream.slots for upstream, _ in usable)
+    return Capacity(rooms, slots * open_share, open_share)
 
 
 def cold_share(state: State, service: str) -> int | None:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -57,9 +57,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreLost:
-    """Tell that the store gives no answers."""
+    """Tell that the store gives no answers, and what the last call met."""
 
     now_ms: Millis
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +97,9 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request reached the upstream."""
+    """No byte of the request reached the upstream; ``detail`` tells why."""
+
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,10 +118,10 @@
 class Broken:
     """The attempt ended without a whole answer; the request may have run.
 
-    ``silent`` is whether the upstream was given up on for its silence.
+    ``detail`` tells how it ended.
     """
 
-    silent: bool = False
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_placing.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_placing.py
@@ -1,7 +1,7 @@
 """Send requests, let them wait, or refuse them."""
 
 from nutmegslip_decisions.direct._budget import count_repeat
-from nutmegslip_decisions.direct._choice import choose, rooms_of
+from nutmegslip_decisions.direct._choice import capacity_of, choose
 from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
@@ -19,11 +19,12 @@
 
 def place(state: State, request: Request, now_ms: Millis) -> Step:
     """Send a request, let it wait, or refuse it at once."""
+    capacity = capacity_of(state, request.service, now_ms)
     if not state.waiting.get(request.service):
-        upstream = choose(state, request, now_ms)
+        upstream = choose(state, capacity, request, now_ms)
         if upstream is not None:
             return send(state, request, upstream.id, now_ms)
-    wait_ms = predicted_wait_ms(state, request, now_ms)
+    wait_ms = predicted_wait_ms(state, request, capacity)
     if wait_ms is None:
         return give_up(state, request, RefusalKind.NO_UPSTREAM, now_ms)
     if not request.streaming and now_ms + wait_ms > wait_until_ms(state, request):
@@ -66,18 +67,23 @@
 def dispatch(state: State, service: str, now_ms: Millis) -> Step:
     """Send those who wait, most urgent first, while there is room."""
     effects: tuple[Effect, ...] = ()
-    for ticket in state.waiting.get(service, ()):
+    queue = state.waiting.get(service)
+    if not queue:
+        return state, effects
+    capacity = capacity_of(state, service, now_ms)
+    for ticket in queue:
+        if not capacity.has_open_slot:
+            break
         request = state.requests[ticket]
         if request.deadline_ms <= now_ms:
             continue  # this process was frozen; the next tick refuses it
-        upstream = choose(state, request, now_ms)
+        upstream = choose(state, capacity, request, now_ms)
         if upstream is None:
-            if not rooms_of(state, service, now_ms):
-                break
-            continue
+            continue  # one that was tried elsewhere may fit where this does not
         state = dequeue(state, request)
         state, sent = send(state, request, upstream.id, now_ms)
         effects += sent
+        capacity = capacity_of(state, service, now_ms)
     return state, effects
 
 
@@ -100,7 +106,8 @@
 def give_up(state: State, request: Request, kind: RefusalKind, now_ms: Millis) -> Step:
     """Refuse a request, with the time to come back where it has not run."""
     ran = request.may_have_run
-    wait_ms = 0 if ran else return_after_ms(state, request, now_ms)
+    capacity = capacity_of(state, request.service, now_ms)
+    wait_ms = 0 if ran else return_after_ms(state, request, capacity, now_ms)
     return forget(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
@@ -45,11 +45,6 @@
     )
 
 
-def table_of(configuration: Configuration | None) -> RouteTable | None:
-    """Return the table of a configuration, None where there is none."""
-    return configuration and RouteTable(configuration)
-
-
 def priority_of(route: Route, account_priority: int | None) -> int:
     """Return the rank of a request, 0 first; the account's goes before the route's."""
     return route.priority if account_priority is None else account_priority
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -145,7 +145,6 @@
     zone: str
     slots: int
     leaving: bool = False
-    cold_until_ms: Millis = 0
     rank: GroupRank | None = None
     born_ms: int = 0
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from nutmegslip_decisions.direct._budget import load_of
-from nutmegslip_decisions.direct._choice import slots_of
+from nutmegslip_decisions.direct._choice import Capacity
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
 from nutmegslip_decisions.model import Millis
@@ -38,14 +38,15 @@
     return state._replace(waiting=state.waiting.set(request.service, changed))
 
 
-def predicted_wait_ms(state: State, request: Request, now_ms: Millis) -> float | None:
+def predicted_wait_ms(
+    state: State, request: Request, capacity: Capacity
+) -> float | None:
     """Return the time until a slot is likely free, None where no slot exists."""
-    slots = slots_of(state, request.service, now_ms)
-    if not slots:
+    if not capacity.slots:
         return None
     queue = state.waiting.get(request.service, ())
     ahead = sum(not _goes_before(state, request, ticket) for ticket in queue)
-    free_every_ms = load_of(state, request.service).hold_ms / slots
+    free_every_ms = load_of(state, request.service).hold_ms / capacity.slots
     return (ahead + 1) * free_every_ms * state.entries()
 
 
@@ -60,7 +61,9 @@
     return min(due_ms, request.deadline_ms) - start_ms
 
 
-def return_after_ms(state: State, request: Request, now_ms: Millis) -> int:
+def return_after_ms(
+    state: State, request: Request, capacity: Capacity, now_ms: Millis
+) -> int:
     """Return when a refused caller may best come back.
 
     A caller comes back once. While nothing can be served it is told to come as late
@@ -69,7 +72,7 @@
     """
     spread = xxhash.xxh3_64_intdigest(request.request_id.encode()) % 1_000 / 1_000
     latest_ms = (request.deadline_ms - now_ms) * RETURN_SHARE
-    wait_ms = predicted_wait_ms(state, request, now_ms)
+    wait_ms = predicted_wait_ms(state, request, capacity)
     if wait_ms is None:
         return max(int(latest_ms * (1 - OUTAGE_SPREAD * spread)), 1)
     after_ms = max(wait_ms, LEAST_RETURN_MS) + spread * RETURN_SPREAD_MS
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -19,6 +19,7 @@
     encode_head,
     end_to_end,
     prepare,
+    reset_on_close,
 )
 
 READ_BYTES = 65_536
@@ -93,9 +94,7 @@
         self.close_after = True
         if self.streaming and not self._chunked:
             # Without chunks only a reset tells the caller of the missing end.
-            self._socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-            )
+            reset_on_close(self._socket)
 
     def _send(self, data: bytes) -> None:
         self._socket.settimeout(WRITE_TIMEOUT_S)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -30,7 +30,6 @@
     Answer,
     Channel,
     ChannelBroken,
-    ChannelSilent,
     Header,
     HttpRequest,
     NotConnected,
@@ -163,18 +162,16 @@
         fresh = route.kind is RequestKind.NON_IDEMPOTENT
         try:
             channel = self._pool.take(upstream, request.deadline_ms, fresh=fresh)
-        except NotConnected:
-            return NotSent()
+        except NotConnected as error:
+            return NotSent(str(error))
         whole = False
         try:
             if not self._write(channel, request, upstream):
-                return NotSent()
+                return NotSent("the deadline passed before it was sent")
             failure = self._read(channel, request)
             whole = True
-        except ChannelSilent:
-            return Broken(silent=True)
-        except ChannelBroken:
-            return Broken()
+        except ChannelBroken as error:
+            return Broken(str(error))
         finally:
             if whole:
                 self._pool.give_back(upstream, channel)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_journal.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_journal.py
@@ -6,12 +6,17 @@
 from nutmegslip_decisions.direct import (
     Arrived,
     AttemptFailed,
+    Broken,
     ConfigurationPublished,
+    Declined,
     DeliverFailure,
     Effect,
     Ended,
+    Errored,
     Event,
+    Failure,
     ListingRead,
+    NotSent,
     Refuse,
     Send,
     State,
@@ -63,8 +68,8 @@
         case ZonesOut(_, zones):
             if zones != before.zones_out:
                 yield _line("zones-out", zones=",".join(sorted(zones)))
-        case StoreLost():
-            yield _line("store-lost")
+        case StoreLost(_, detail):
+            yield _line("store-lost", reason=detail)
         case StoreReached():
             yield _line("store-reached")
         case AttemptFailed(_, ticket, failure):
@@ -76,6 +81,7 @@
                     {
                         "upstream": request.upstream,
                         "failure": type(failure).__name__,
+                        "reason": _reason(failure),
                         "after_ms": event.now_ms - request.sent_at_ms,
                         "attempts": request.sends,
                     },
@@ -133,6 +139,20 @@
             yield Line("failure-delivered", _request_id(event, before, ticket), {})
 
 
+def _reason(failure: Failure) -> str:
+    match failure:
+        case NotSent(detail) | Broken(detail):
+            return detail
+        case Declined(misdirected=True):
+            return "another upstream has the address"
+        case Declined(at_fault=culprit) if culprit:
+            return f"{culprit} is at fault"
+        case Declined():
+            return "the upstream is full"
+        case Errored():
+            return "the upstream ran it and failed"
+
+
 def _request_id(event: Event, before: State, ticket: int) -> str:
     if isinstance(event, Arrived) and event.request.ticket == ticket:
         return event.request.request_id
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_maps.py
@@ -90,7 +90,7 @@
         self._revision = revision
         self._log = log
         self._rollouts: dict[str, rollout.State] = {}
-        self._upstreams: dict[str, Upstream] = {}
+        self._members: dict[str, dict[str, Upstream]] = {}
         self._started_ms = machine.clock()
         self._counted_ms = 0
         self._counts: dict[str, Counts] = {}
@@ -127,7 +127,6 @@
         """Yield each group with experts; None beside it where it is not whole."""
         state = self._machine.state
         services = state.configuration.services if state.configuration else {}
-        self._upstreams.update(state.upstreams)
         members: dict[str, list[Upstream]] = {}
         layouts: dict[str, ExpertLayout] = {}
         for upstream in state.upstreams.values():
@@ -137,7 +136,10 @@
                 members.setdefault(upstream.rank.group, []).append(upstream)
                 layouts[upstream.rank.group] = engine.layout
         for name, ranks in members.items():
-            yield name, layouts[name], _whole_group(name, ranks)
+            group = _whole_group(name, ranks)
+            if group is not None:
+                self._members[name] = {rank.id: rank for rank in ranks}
+            yield name, layouts[name], group
 
     def _take(self, name: str, event: rollout.Event) -> None:
         state, effects = rollout.reduce(self._rollouts[name], event)
@@ -147,13 +149,13 @@
 
     def _perform(self, name: str, effect: rollout.Effect) -> None:
         match effect:
-            case Give():
-                gevent.spawn(self._give, name, effect)
+            case Give(rank):
+                gevent.spawn(self._give, name, self._members[name][rank], effect)
             case ReadReports(group):
-                for rank in group.ranks:
+                for rank in self._ranks_of(group):
                     gevent.spawn(self._read_report, name, rank)
             case ReadLayout(group):
-                gevent.spawn(self._read_layout, name, group)
+                gevent.spawn(self._read_layout, name, self._ranks_of(group))
             case Changed(version, took_ms, gain):
                 self._log.emit(
                     "group-map-in-force",
@@ -167,23 +169,22 @@
                     "group-map-abandoned", group=name, version=version, reason=reason
                 )
 
-    def _give(self, name: str, give: Give) -> None:
-        outcome = self._ranks.give(
-            self._upstreams[give.rank], give.epoch, give.fence, give.order
-        )
+    def _ranks_of(self, group: Group) -> list[Upstream]:
+        members = self._members[group.name]
+        return [members[rank] for rank in group.ranks]
+
+    def _give(self, name: str, rank: Upstream, give: Give) -> None:
+        outcome = self._ranks.give(rank, give.epoch, give.fence, give.order)
         now_ms = self._machine.clock()
         self._take(name, Ordered(now_ms, give.rank, give.epoch, give.order, outcome))
 
-    def _read_report(self, name: str, rank: str) -> None:
-        report = self._ranks.report(self._upstreams[rank])
+    def _read_report(self, name: str, rank: Upstream) -> None:
+        report = self._ranks.report(rank)
         if report is not None:
-            self._take(name, Reported(self._machine.clock(), rank, report))
+            self._take(name, Reported(self._machine.clock(), rank.id, report))
 
-    def _read_layout(self, name: str, group: Group) -> None:
-        jobs = [
-            gevent.spawn(self._ranks.layout, self._upstreams[rank])
-            for rank in group.ranks
-        ]
+    def _read_layout(self, name: str, ranks: list[Upstream]) -> None:
+        jobs = [gevent.spawn(self._ranks.layout, rank) for rank in ranks]
         gevent.joinall(jobs)
         found = [job.value for job in jobs]
         if None in found or len({(one.epoch, one.version) for one in found}) > 1:
@@ -196,12 +197,12 @@
     def _measure(self, name: str, group: Group, layout: ExpertLayout) -> None:
         step = max(len(group.ranks) // SAMPLED_RANKS, 1)
         recent = [0.0] * (layout.layers * layout.experts)
-        for rank in group.ranks[::step]:
-            counts = self._ranks.counts(self._upstreams[rank])
+        for rank in self._ranks_of(group)[::step]:
+            counts = self._ranks.counts(rank)
             if counts is None or len(counts.chosen) != len(recent):
                 continue
-            last = self._counts.get(rank)
-            self._counts[rank] = counts
+            last = self._counts.get(rank.id)
+            self._counts[rank.id] = counts
             # A rank that started anew counts from nothing.
             known = last is not None and last.epoch == counts.epoch
             before = last.chosen if known else itertools.repeat(0.0)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
@@ -17,7 +17,6 @@
     def __init__(self, clock: Callable[[], int]) -> None:
         self._clock = clock
         self._kept: dict[tuple, list[Channel]] = defaultdict(list)
-        self.opened = 0
 
     def take(self, upstream: Upstream, deadline_ms: int, *, fresh: bool) -> Channel:
         """Return a connection; raise NotConnected where none opens in time.
@@ -32,7 +31,6 @@
                 return channel
             channel.close()
         timeout_ms = min(CONNECT_TIMEOUT_MS, deadline_ms - self._clock())
-        self.opened += 1
         return Channel.connect(
             upstream.host, upstream.port, max(timeout_ms, 1) / 1_000, self._clock
         )
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -48,7 +48,7 @@
         """Read and watch until killed."""
 
 
-RanksMaker = Callable[[Pool, Callable[[], int]], Ranks]
+RanksMaker = Callable[[Pool, Callable[[], int], PacedLog], Ranks]
 FeedMaker = Callable[[str, Callable[[Event], None], PacedLog], Feed]
 
 
@@ -83,7 +83,7 @@
         )
         self._maps = MapKeeper(
             self._machine,
-            make_ranks(self._pool, elapsed_ms),
+            make_ranks(self._pool, elapsed_ms, self._log),
             settings.peers[0],
             secrets.randbelow(IDENTITIES - 1) + 1,
             lambda: self._feed.revision,
@@ -143,8 +143,6 @@
     def _serve(self, caller: Caller, request: HttpRequest) -> None:
         try:
             self._exchanges.serve(caller, request)
-        except (OSError, gevent.GreenletExit):
-            raise
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             self._log.fault("request-dropped", error)
             caller.abort()
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -10,6 +10,7 @@
         Level.WARNING,
         "The store gives no answers; what was read last stays in force.",
         "If it lasts, check the store and the path to it.",
+        ("reason",),
     ),
     EventKind(
         2002,
@@ -106,6 +107,14 @@
         "If it repeats, look for a rank that leaves orders unanswered.",
         ("group", "version", "reason"),
     ),
+    EventKind(
+        2014,
+        "rank-call-failed",
+        Level.WARNING,
+        "A rank gave no usable answer to a call; the call is made again if needed.",
+        "If one rank repeats, look at its host and the path to it.",
+        ("upstream", "call", "reason"),
+    ),
     EventKind(
         2101,
         "request-sent",
@@ -128,7 +137,7 @@
         Level.WARNING,
         "An attempt at an upstream failed.",
         "If one upstream fails often, look at it, or take its zone out.",
-        ("upstream", "failure", "after_ms", "attempts"),
+        ("upstream", "failure", "reason", "after_ms", "attempts"),
     ),
     EventKind(
         2104,
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
@@ -21,7 +21,7 @@
     RequestFault,
     RequestReader,
 )
-from nutmegslip_runtime.http1._sockets import prepare
+from nutmegslip_runtime.http1._sockets import prepare, reset_on_close
 
 __all__ = [
     "LAST_CHUNK",
@@ -40,4 +40,5 @@
     "encode_request",
     "end_to_end",
     "prepare",
+    "reset_on_close",
 ]
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_channel.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_channel.py
@@ -123,6 +123,14 @@
         """Return the body up to its end."""
         return b"".join(iter(lambda: self.read_body(deadline_ms), b""))
 
+    def exchange(self, request: bytes, deadline_ms: int) -> tuple[Answer, bytes]:
+        """Send a whole request; return its answer and whole body.
+
+        Raise ChannelBroken where they do not come in time.
+        """
+        self.send(request, max(deadline_ms - self._clock(), 1) / 1_000)
+        return self.read_answer(deadline_ms), self.read_whole_body(deadline_ms)
+
     def close(self) -> None:
         """Close the connection at once."""
         self._socket.close()
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_sockets.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_sockets.py
@@ -1,6 +1,7 @@
 """Set the options that let a socket notice a silent network."""
 
 import socket
+import struct
 
 KEEPALIVE_IDLE_S = 1  # the least that the system takes
 KEEPALIVE_INTERVAL_S = 1
@@ -8,6 +9,14 @@
 UNACKNOWLEDGED_MS = 2_000  # in step with the probes
 
 
+_LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Let the close of a socket reach the peer as a reset, not as an end."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+
+
 def prepare(sock: socket.socket) -> None:
     """Send small writes at once; fail within seconds when the peer is gone."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_direct_journal.py
+++ b/tests/test_direct_journal.py
@@ -1,18 +1,26 @@
 """Test that each decision leaves a line with its request and its inputs."""
 
 import unittest
+from types import SimpleNamespace
 
+from nutmegslip_platform._ranks import RankCalls
+
+from fakes.runners import Fault, Runner
 from nutmegslip_decisions import direct
 from nutmegslip_decisions.direct import (
     Arrived,
     AttemptFailed,
     Broken,
     CallerRequest,
+    Declined,
     Ended,
+    Errored,
+    NotSent,
     StoreLost,
     UpstreamPublished,
 )
-from nutmegslip_entry.direct import lines_of
+from nutmegslip_entry.direct import Pool, lines_of
+from nutmegslip_runtime.clock import elapsed_ms
 from nutmegslip_runtime.eventlog import event_named
 from tests.direct_world import HOST, KEY, World, upstream
 
@@ -58,6 +66,55 @@
             with self.subTest(event=type(event).__name__):
                 self.assertEqual(self._lines(event), lines)
 
+    def test_a_failure_keeps_its_reason(self):
+        cases = (
+            (NotSent("refused"), "refused"),
+            (Broken("the connection was closed"), "the connection was closed"),
+            (Declined(at_fault="u9"), "u9 is at fault"),
+            (Declined(), "the upstream is full"),
+            (Errored(), "the upstream ran it and failed"),
+        )
+        for number, (failure, reason) in enumerate(cases, 1):
+            with self.subTest(failure=failure):
+                self._arrive(number)
+                event = AttemptFailed(self.world.now_ms, number, failure)
+                self.assertEqual(self._fields(event)["reason"], reason)
+        lost = self._fields(StoreLost(self.world.now_ms, "it answered 503"))
+        self.assertEqual(lost, {"reason": "it answered 503"})
+
+    def _fields(self, event):
+        before = self.world.state
+        self.world.state, effects = direct.reduce(before, event)
+        return next(lines_of(event, before, self.world.state, effects)).fields
+
+
+class RankCallTests(unittest.TestCase):
+    def test_each_unusable_answer_is_logged(self):
+        lines = []
+        log = SimpleNamespace(emit=lambda name, **fields: lines.append((name, fields)))
+        answers = {
+            Fault.SHED: "it answered 503",
+            Fault.RUBBISH: "no HTTP",
+            Fault.NONE: "cannot be read",
+        }
+        runner = Runner("m1")
+        host, _, port = runner.address.rpartition(":")
+        rank = upstream("m1", host=host, port=int(port))
+        calls = RankCalls(Pool(elapsed_ms), elapsed_ms, log)
+        for fault, reason in answers.items():
+            with self.subTest(fault=fault):
+                runner.fault = fault
+                self.assertIsNone(calls.report(rank))
+                name, fields = lines.pop()
+                self.assertEqual(
+                    (name, fields["call"]), ("rank-call-failed", "/report")
+                )
+                self.assertIn(reason, fields["reason"])
+        runner.close()
+        gone = RankCalls(Pool(elapsed_ms), elapsed_ms, log)
+        self.assertIsNone(gone.counts(rank))
+        self.assertIn("refused", lines.pop()[1]["reason"])
+
 
 if __name__ == "__main__":
     unittest.main()
