Keep totals of what other entries have in hand

Cause: each choice added up the reports of all other entries for each upstream of the service, and hashed each upstream to break ties.

Ruled out: fewer upstreams a choice (two random choices), which needs the share of open slots anyway; merging reports once a choice (16,500 entries at the target). Totals in the state move by the difference of two reports.

--- a/bench/capacity_direct.py
+++ b/bench/capacity_direct.py
@@ -30,30 +30,32 @@
 )
 
 UPSTREAMS = (12, 45, 150, 450)
+PEERS = (3, 329)  # a site of today, and the target
 REQUESTS = 200
 IN_HAND = 50
 
 
 def main(*, out: pathlib.Path = pathlib.Path("bench/capacity-direct.json")) -> int:
-    """Write milliseconds a request, a peer's report and a changed listing.
+    """Write milliseconds a request, a peer's report and a changed listing cost.
 
     :param out: file for the figures
     """
-    figures = [_measure(count) for count in UPSTREAMS]
+    figures = [_measure(count, peers) for peers in PEERS for count in UPSTREAMS]
     out.write_text(json.dumps(figures, indent=1) + "\n")
     print(out.read_text(), end="")
     return 0
 
 
-def _measure(count: int) -> dict[str, float]:
+def _measure(count: int, peers: int) -> dict[str, float]:
     state = _state(count)
     in_hand = Map({f"u{number}": 1 for number in range(min(count, IN_HAND))})
-    for peer in range(3):
+    for peer in range(peers):
         state, _ = direct.reduce(state, PeerReported(0, f"peer-{peer}", in_hand))
     report = PeerReported(0, "peer-1", in_hand)
     changed = direct.UpstreamPublished(0, _upstream(0)._replace(slots=11))
     return {
         "upstreams": count,
+        "peers": peers,
         "request_ms": _timed(lambda number: _serve(state, number)),
         "peer_report_ms": _timed(lambda _: direct.reduce(state, report)),
         "listing_change_ms": _timed(lambda _: direct.reduce(state, changed)),
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -29,9 +29,10 @@
     ZonesOut,
 )
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._pieces import EventSplitter
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
-from nutmegslip_decisions.direct._state import State, fresh_peers
+from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import (
     Account,
     CallerRequest,
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -15,7 +15,6 @@
 from nutmegslip_decisions.direct._state import (
     Standing,
     State,
-    in_hand_elsewhere,
 )
 from nutmegslip_decisions.direct._types import Request, Service, Upstream
 from nutmegslip_decisions.model import Millis
@@ -27,6 +26,11 @@
     upstream: Upstream
     in_hand: int
 
+    @property
+    def load(self) -> float:
+        """Return the share of slots that are taken."""
+        return self.in_hand / self.upstream.slots
+
     @property
     def is_full(self) -> bool:
         """Return whether every slot is taken."""
@@ -65,8 +69,7 @@
     if not rooms:
         return None
     trusted = [room for room in rooms if not _avoided(state, room.upstream, now_ms)]
-    best = min(trusted or rooms, key=lambda room: _rank(room, request))
-    return best.upstream
+    return _least_loaded(trusted or rooms, request).upstream
 
 
 def capacity_of(state: State, service: str, now_ms: Millis) -> Capacity:
@@ -77,7 +80,7 @@
     rooms = tuple(
         Room(
             upstream,
-            standing.in_hand + in_hand_elsewhere(state, upstream.id, now_ms),
+            standing.in_hand + state.elsewhere.get(upstream.id, 0),
         )
         for upstream, standing in usable
         if cold_limit is None or standing.sent.count(now_ms) < cold_limit
@@ -120,9 +123,9 @@
     return state.standing(upstream.id).avoid_until_ms > now_ms
 
 
-def _rank(room: Room, request: Request) -> tuple[float, int]:
+def _least_loaded(rooms: list[Room], request: Request) -> Room:
+    least = min(room.load for room in rooms)
+    equal = [room for room in rooms if room.load == least]
     # Equal loads are spread by a hash, so that entries do not pick alike.
-    spread = xxhash.xxh3_64_intdigest(
-        f"{request.request_id}{room.upstream.id}".encode()
-    )
-    return room.in_hand / room.upstream.slots, spread
+    spread = xxhash.xxh3_64_intdigest(request.request_id.encode())
+    return equal[spread % len(equal)]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -20,6 +20,7 @@
 )
 from nutmegslip_decisions.direct._lives import arrive, begin, end, fail
 from nutmegslip_decisions.direct._pace import with_pace
+from nutmegslip_decisions.direct._peers import with_report, without_silent
 from nutmegslip_decisions.direct._placing import (
     Step,
     dispatch,
@@ -33,11 +34,9 @@
     without_lapsed,
     without_upstream,
 )
-from nutmegslip_decisions.direct._state import PeerView, State
+from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.model import Millis
 
-PEER_FORGOTTEN_MS = 10_000  # shares of a silent peer go back to the others
-
 
 def reduce(state: State, event: Event) -> Step:
     """Return the state after an event, and what is to be done."""
@@ -55,8 +54,7 @@
         case Tick(now_ms):
             return _tick(state, now_ms)
         case PeerReported(now_ms, peer, in_hand):
-            peers = state.peers.set(peer, PeerView(now_ms, in_hand))
-            return dispatch_all(state._replace(peers=peers), now_ms)
+            return dispatch_all(with_report(state, peer, in_hand, now_ms), now_ms)
         case ConfigurationPublished(_, configuration):
             return with_configuration(state, configuration), ()
         case UpstreamPublished(now_ms, upstream):
@@ -82,14 +80,7 @@
 
 
 def _tick(state: State, now_ms: Millis) -> Step:
-    state = without_lapsed(state, now_ms)
-    gone = [
-        name
-        for name, view in state.peers.items()
-        if view.heard_ms + PEER_FORGOTTEN_MS < now_ms
-    ]
-    for name in gone:
-        state = state._replace(peers=state.peers.delete(name))
+    state = without_silent(without_lapsed(state, now_ms), now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
     return state, (*refused, *sent)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -13,7 +13,6 @@
 COLD_WINDOW_MS = 1_000  # the cold bound is stated for any second
 COLD_BUCKET_MS = 50  # the bound is kept to within a twentieth of its window
 BUDGET_BUCKET_MS = 500
-PEER_FRESH_MS = 1_500  # a peer that is silent for longer counts as stopped
 
 
 class Standing(NamedTuple):
@@ -25,6 +24,9 @@
     avoid_until_ms: Millis = 0
 
 
+_UNKNOWN = Standing()
+
+
 class PeerView(NamedTuple):
     """Hold what another entry reported last."""
 
@@ -58,7 +60,10 @@
 
 
 class State(NamedTuple):
-    """Hold everything that the reducer decides from."""
+    """Hold everything that the reducer decides from.
+
+    ``elsewhere`` is what all peers have in hand, by upstream.
+    """
 
     options: Options
     configuration: Configuration | None = None
@@ -71,6 +76,7 @@
     zones_out: frozenset[str] = frozenset()
     standings: Map[str, Standing] = Map()
     peers: Map[str, PeerView] = Map()
+    elsewhere: Map[str, int] = Map()
     doubts: Map[str, GroupDoubt] = Map()
     loads: Map[str, ServiceLoad] = Map()
     requests: Map[int, Request] = Map()
@@ -82,20 +88,4 @@
 
     def standing(self, upstream_id: str) -> Standing:
         """Return what is known of an upstream."""
-        return self.standings.get(upstream_id, Standing())
-
-
-def fresh_peers(state: State, now_ms: Millis, silent_ms: int) -> list[str]:
-    """Return the entries that were heard within a time."""
-    return [
-        peer for peer, view in state.peers.items() if view.heard_ms + silent_ms > now_ms
-    ]
-
-
-def in_hand_elsewhere(state: State, upstream_id: str, now_ms: Millis) -> int:
-    """Return what other entries reported for an upstream, where that is fresh."""
-    return sum(
-        view.in_hand.get(upstream_id, 0)
-        for view in state.peers.values()
-        if view.heard_ms + PEER_FRESH_MS > now_ms
-    )
+        return self.standings.get(upstream_id, _UNKNOWN)
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
 from immutables import Map
 
 from nutmegslip_decisions.direct import (
@@ -30,9 +32,38 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._peers import FRESH_MS
 from tests.direct_world import World, configuration, upstream
 
 
+class PeerTests(unittest.TestCase):
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["p1", "p2", "p3"]),
+                st.dictionaries(st.sampled_from(["u1", "u2"]), st.integers(0, 5)),
+                st.integers(0, 2_000),
+            ),
+            max_size=12,
+        )
+    )
+    def test_totals_are_the_sums_of_fresh_reports(self, reports):
+        world = World(upstream("u1"), upstream("u2"))
+        last = {}
+        for peer, in_hand, later_ms in reports:
+            world.now_ms += later_ms
+            world.take(Tick(world.now_ms))
+            world.take(PeerReported(world.now_ms, peer, Map(in_hand)))
+            last[peer] = (world.now_ms, in_hand)
+            for name in ("u1", "u2"):
+                expected = sum(
+                    found.get(name, 0)
+                    for heard_ms, found in last.values()
+                    if heard_ms + FRESH_MS > world.now_ms
+                )
+                self.assertEqual(world.state.elsewhere.get(name, 0), expected)
+
+
 class RoutingTests(unittest.TestCase):
     def test_refusals_before_any_upstream_is_chosen(self):
         cases = (
