Add a fault soak of real entries, by seeds

It runs three entries as processes, each behind its own loopback proxy to the store and one to each runner; proxies delay, reset, cut one way or silence (bytes are held back, never lost), signals freeze, kill, stop and reload, runners answer in twelve faulty ways or are replaced under their old id or a new one, the store fails, forgets and publishes. Twelve callers keep their connections until the process is gone. It checks each second, from what callers and runners saw: runs of pushes, attempts, "not run", whole and right answers, events in order, nothing that no caller sent, account and key; at the end, that a calm site serves everything.

Left out: steps of the clock (not without rights on the machine; the entries use the clock that counts since boot) and storage (they use none). The real entry moved from bench.direct_site to bench.entry_process, so that both use one.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,10 @@
 	  ../$(VENV)/bin/pip-compile --quiet --generate-hashes --allow-unsafe \
 	    --no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
 	    --no-header --no-annotate --strip-extras -o $$name.txt $$name.in; done
+
+# Break real entries from outside, by seeds; FIRST and SEEDS choose them.
+FIRST ?= 1
+SEEDS ?= 6
+.PHONY: soak
+soak: setup
+	$(PYTHON) -m soak --first $(FIRST) --seeds $(SEEDS) --jobs 3
--- a/bench/demo_direct.py
+++ b/bench/demo_direct.py
@@ -11,7 +11,7 @@
 
 KINDS = (("lookups", "GET"), ("pushes", "POST"), ("verses", "POST"))
 ROUNDS = 20
-PUBLISH_S = 0.3  # the stand-in's watch answers at once
+PUBLISH_S = 1.0  # half the bound within which what is published is in force
 STOP_S = 10.0
 
 
@@ -37,8 +37,8 @@
     site.publish(published(2, route("lookups", "board", "idempotent", attempts=2)))
     gevent.sleep(PUBLISH_S)
     _send(site, answers, "one route left", expected=(200, 404, 404))
-    site.signal(signal.SIGTERM)
-    code = site.wait_end(STOP_S)
+    site.entry.signal(signal.SIGTERM)
+    code = site.entry.wait_end(STOP_S)
     for line, count in sorted(answers.items()):
         print(f"{line}: {count}")
     print(f"stopped with code {code}")
--- /dev/null
+++ b/bench/entry_process.py
@@ -0,0 +1,173 @@
+"""Run a real entry on the platform's path as a process."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+import gevent
+from gevent import socket
+
+from nutmegslip_runtime.clock import elapsed_ms
+from nutmegslip_runtime.http1 import (
+    Answer,
+    Channel,
+    ChannelBroken,
+    NotConnected,
+    encode_request,
+)
+
+ROOT = pathlib.Path(__file__).parent.parent
+START_TIMEOUT_S = 20.0
+ANSWER_MS = 8_000
+
+_SETTINGS = """\
+[process]
+host = "{name}"
+zone = "a"
+metrics_port = {metrics}
+[listen]
+callers = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+peers = "{ip}:{peers}"
+[fleet]
+seeds = [{seeds}]
+zones = ["a"]
+[store]
+address = "{store}"
+[bounds]
+budget_ratio = 0.2
+budget_slack = 88
+cold_multiplier = 1.5
+cold_slack = 5
+stop_grace_s = 8
+"""
+
+
+class Ports(NamedTuple):
+    """Number the ports that an entry listens on."""
+
+    callers: int
+    ready: int
+    metrics: int
+    peers: int
+
+
+class Reply(NamedTuple):
+    """Hold an answer as a caller sees it; ``whole`` is whether its end was told."""
+
+    status: int
+    answer: Answer | None
+    body: bytes
+    whole: bool
+
+
+class EntryProcess:
+    """Hold an entry through its lives; its log goes on from one to the next."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        name: str,
+        store: str,
+        *,
+        ip: str = "127.0.0.1",
+        ports: Ports | None = None,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        self.ip = ip
+        self.ports = ports or free_ports()
+        self.log = folder / f"{name}.log"
+        self._file = folder / f"{name}.toml"
+        self._process: subprocess.Popen | None = None
+        named = ", ".join(f'"{seed}:{self.ports.peers}"' for seed in seeds)
+        self._file.write_text(
+            _SETTINGS.format(
+                name=name, ip=ip, store=store, seeds=named, **self.ports._asdict()
+            )
+        )
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log.open("a") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "platform/entry.py"],
+                cwd=ROOT,
+                env=os.environ | {"NUTMEGSLIP_CONFIG": str(self._file)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def wait_ready(self, status: int = 200) -> None:
+        """Wait until the readiness call answers a status."""
+        end = time.monotonic() + START_TIMEOUT_S
+        while self.get(self.ports.ready, b"/readiness").status != status:
+            if time.monotonic() > end:
+                raise AssertionError(self.log.read_text()[-2_000:])
+            gevent.sleep(0.05)
+
+    def wait_end(self, timeout_s: float) -> int | None:
+        """Wait for the process to end; return its exit code."""
+        end = time.monotonic() + timeout_s
+        while self.is_running and time.monotonic() < end:
+            gevent.sleep(0.05)
+        return self._process.poll()
+
+    def end(self) -> None:
+        """Kill the process if it runs."""
+        if self.is_running:
+            self._process.kill()
+            self._process.wait()
+
+    def get(self, port: int, target: bytes) -> Reply:
+        """Make a plain call to one of the ports; the status is 0 without an answer."""
+        try:
+            channel = Channel.connect(self.ip, port, 1.0, elapsed_ms)
+        except NotConnected as error:
+            return Reply(0, None, str(error).encode(), False)
+        reply = exchange(channel, b"GET", target, [(b"host", b"entry")], b"")
+        channel.close()
+        return reply
+
+    def connect(self) -> Channel:
+        """Open a caller's connection."""
+        return Channel.connect(self.ip, self.ports.callers, 2.0, elapsed_ms)
+
+
+def exchange(
+    channel: Channel, method: bytes, target: bytes, fields: list, body: bytes
+) -> Reply:
+    """Send a request on an open connection; return what came, also in part."""
+    answer, found = None, b""
+    try:
+        channel.send(encode_request(method, target, fields, body), 2.0)
+        deadline_ms = elapsed_ms() + ANSWER_MS
+        answer = channel.read_answer(deadline_ms)
+        while part := channel.read_body(deadline_ms):
+            found += part
+    except (ChannelBroken, OSError):
+        return Reply(answer.status if answer else 0, answer, found, False)
+    return Reply(answer.status, answer, found, True)
+
+
+def free_ports() -> Ports:
+    """Return ports on which nothing listens."""
+    return Ports(*(_free_port() for _ in Ports._fields))
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,64 @@
+"""Play seeds by hand."""
+
+import subprocess
+import sys
+from itertools import islice
+
+import defopt
+
+from soak._run import STEPS, run
+from soak._schedule import ENTRIES
+
+
+def main(
+    *,
+    first: int = 1,
+    seeds: int = 1,
+    jobs: int = 1,
+    steps: int = STEPS,
+    entries: int = ENTRIES,
+) -> int:
+    """Play seeds one after the other, or several at once; print what each showed.
+
+    :param first: the first seed
+    :param seeds: how many seeds
+    :param jobs: how many seeds at once, each in a process of its own
+    :param steps: faults in each
+    :param entries: entry processes in each
+    """
+    numbers = iter(range(first, first + seeds))
+    if jobs > 1:
+        options = ["--steps", str(steps), "--entries", str(entries)]
+        codes: list[int] = []
+        while batch := list(islice(numbers, jobs)):
+            codes += _together(batch, options)
+        return max(codes)
+    return max(_one(number, steps, entries) for number in numbers)
+
+
+def _together(batch: list[int], options: list[str]) -> list[int]:
+    started = [
+        subprocess.Popen(
+            [sys.executable, "-m", "soak", "--first", str(number), *options]
+        )
+        for number in batch
+    ]
+    return [one.wait() for one in started]
+
+
+def _one(seed: int, steps: int, entries: int) -> int:
+    outcome = run(seed, steps=steps, entries=entries)
+    total = sum(outcome.statuses.values())
+    served = sum(n for name, n in outcome.statuses.items() if name.endswith(" 200"))
+    verdict = "broken" if outcome.faults else "kept"
+    print(f"seed {seed}: {verdict}; {served} of {total} served", flush=True)
+    for fault in outcome.faults[:10]:
+        print(f"  {fault}", flush=True)
+    if outcome.faults:
+        for step in outcome.steps:
+            print(f"  {step}", flush=True)
+    return 1 if outcome.faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
--- a/tests/test_direct_processes.py
+++ b/tests/test_direct_processes.py
@@ -6,7 +6,8 @@
 
 import gevent
 
-from bench.direct_site import ANSWER_MS, KEY, Site, published, route
+from bench.direct_site import KEY, Site, published, route
+from bench.entry_process import ANSWER_MS
 from fakes.runners import Fault
 from nutmegslip_runtime.clock import elapsed_ms
 from nutmegslip_runtime.http1 import encode_request
@@ -81,7 +82,7 @@
         self.assertFalse([r for runner in self.board for r in runner.seen])
 
     def test_a_connection_serves_one_request_after_the_other(self):
-        channel = self.site.connect()
+        channel = self.site.entry.connect()
         for number in range(3):
             fields = self.site.fields(f"kept-{number}")
             channel.send(encode_request(b"GET", b"/lookups/1", fields, b""), 1.0)
@@ -160,7 +161,7 @@
     def test_a_caller_who_leaves_ends_the_run(self):
         for runner in self.model:
             runner.pause_s, runner.events = 0.05, 200
-        channel = self.site.connect()
+        channel = self.site.entry.connect()
         fields = self.site.fields("leaver")
         channel.send(encode_request(b"POST", b"/verses/1", fields, b""), 1.0)
         channel.read_answer(elapsed_ms() + ANSWER_MS)
@@ -204,7 +205,9 @@
         gevent.sleep(SETTLED_S)
         self.assertEqual(self.site.ask("/lookups/1").status, 200)
         gevent.sleep(1.2)
-        lines = [json.loads(line) for line in self.site.log.read_text().splitlines()]
+        lines = [
+            json.loads(line) for line in self.site.entry.log.read_text().splitlines()
+        ]
         keys = [
             line["fields"]["key"]
             for line in lines
@@ -244,15 +247,15 @@
             runner.pause_s = 0.3
         stream = gevent.spawn(self.site.ask, "/verses/1", method="POST")
         gevent.sleep(0.2)
-        self.site.signal(signal.SIGTERM)
-        self.site.wait_ready(503)
+        self.site.entry.signal(signal.SIGTERM)
+        self.site.entry.wait_ready(503)
         self.assertEqual(self.site.ask("/lookups/1").status, 200)
-        self.site.signal(signal.SIGTERM)
+        self.site.entry.signal(signal.SIGTERM)
         self.assertTrue(stream.get(timeout=8).whole)
-        self.assertEqual(self.site.wait_end(8), 0)
+        self.assertEqual(self.site.entry.wait_end(8), 0)
 
     def test_settings_are_read_again_on_a_hangup(self):
-        self.site.signal(signal.SIGHUP)
+        self.site.entry.signal(signal.SIGHUP)
         gevent.sleep(0.3)
         self.assertEqual(self.site.ask("/lookups/1").status, 200)
         self.assertIn('event="settings-changed"', self.site.metrics())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,79 @@
+"""Play a short seeded soak, and hold its checks against what they must find."""
+
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+
+from soak import plan, run
+from soak._promises import Seen, Sent, broken, expected
+
+REGRESSIONS = ()  # seeds that failed once, each with a line on its cause
+SHORT_SEED, SHORT_STEPS = 5, 8
+
+
+class SoakTests(unittest.TestCase):
+    def test_seeds_that_failed_once_and_a_short_one(self):
+        for seed in (SHORT_SEED, *REGRESSIONS):
+            with self.subTest(seed=seed):
+                outcome = run(seed, steps=SHORT_STEPS)
+                self.assertEqual(outcome.faults, ())
+                self.assertGreater(outcome.statuses["stream 200"], 0)
+                self.assertGreater(outcome.statuses["push 200"], 0)
+
+    def test_a_schedule_follows_its_seed(self):
+        self.assertEqual(plan(3, 20, 8.0), plan(3, 20, 8.0))
+        self.assertNotEqual(plan(3, 20, 8.0), plan(4, 20, 8.0))
+        self.assertEqual(len(plan(3, 20, 8.0)), 20)
+
+
+class PromiseTests(unittest.TestCase):
+    """Show that each check finds what it is for."""
+
+    def test_what_is_found(self):
+        push = Sent("q1", "push", b"/pushes/1", b"x")
+        stream = Sent("q2", "stream", b"/verses/1", b"")
+        whole = expected(stream)
+        events = whole.split(b"\n\n")
+        cases = (
+            (push, (200, expected(push), True), 1, ""),
+            (push, (200, expected(push), True), 2, "ran 2 times"),
+            (push, (503, b"", True), 1, "has not run"),
+            (push, (200, b"answer to q9", True), 1, "a success with"),
+            (push, (200, b"answer to", False), 1, ""),
+            (stream, (200, whole, True), 2, ""),
+            (stream, (200, whole, True), 3, "allows 2"),
+            (stream, (200, events[0] + b"\n\n", False), 1, ""),
+            (stream, (200, events[0] + b"\n\n", True), 1, "a success with"),
+            (stream, (200, events[1] + b"\n\n", False), 1, "out of order"),
+        )
+        for sent, answer, runs, text in cases:
+            with self.subTest(sent=sent, answer=answer, runs=runs):
+                seen = Seen(sent, *answer)
+                ran = Counter({sent.request_id: runs})
+                found = list(broken({}, [seen], ran, []))
+                self.assertEqual(bool(found), bool(text))
+                self.assertIn(text, " ".join(found))
+
+    def test_what_runners_must_not_see(self):
+        sent = Sent("q1", "push", b"/pushes/1", b"x")
+        usual = {b"x-nutmegslip-request-id": b"q1", b"x-nutmegslip-tenant": b"parish"}
+        cases = (
+            ({}, b"/pushes/1", b"x", ""),
+            ({}, b"/pushes/2", b"x", "another target"),
+            ({}, b"/pushes/1", b"y", "another target"),
+            ({b"x-nutmegslip-tenant": b"other"}, b"/pushes/1", b"x", "account"),
+            ({b"x-nutmegslip-key": b"k"}, b"/pushes/1", b"x", "key"),
+            ({b"x-nutmegslip-request-id": b"q9"}, b"/pushes/1", b"x", "no caller"),
+        )
+        for headers, target, body, text in cases:
+            with self.subTest(headers=headers, target=target, body=body):
+                arrival = SimpleNamespace(
+                    header=(usual | headers).get, target=target, body=body
+                )
+                found = list(broken({"q1": sent}, [], Counter(), [arrival]))
+                self.assertEqual(len(found), 1 if text else 0)
+                self.assertIn(text, " ".join(found))
+
+
+if __name__ == "__main__":
+    unittest.main()
