--- a/soak/_run.py
+++ b/soak/_run.py
@@ -13,7 +13,7 @@
 from soak._schedule import ENTRIES, Step, plan
 from soak._site import SoakSite
 
-STEPS, LENGTH_S = 14, 8.0
+STEPS, LENGTH_S = 32, 8.0
 CALLERS = 12
 CHECK_S = 1.0
 SETTLED_S = 5.0  # the bound on what is published while the store was away
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -51,6 +51,7 @@
     Act.STORE: 3.0,
     Act.ZONE: 2.0,
 }
+_OFTEN = {Act.RUNNER: 5, Act.LINK: 3, Act.REPLACE: 2}  # one of six runners each
 _RUNNER_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 _LINKS = tuple(link for link in Link if link is not Link.SOUND)
 
@@ -67,7 +68,7 @@
 
 
 def _step(draw: Random, at_s: float) -> Step:
-    act = draw.choice(tuple(Act))
+    (act,) = draw.choices(tuple(Act), [_OFTEN.get(act, 1) for act in Act])
     for_s = draw.uniform(0.2, _LONGEST_S.get(act, 0.2))
     how = ""
     count = ENTRIES
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -154,9 +154,14 @@
 
     def _publish(self) -> None:
         version = next(self._versions)
-        extra = route(f"extra{version}", "board", "idempotent")
-        base = published(version)
-        self.store.history.put("op/config", base | {"routes": [*base["routes"], extra]})
+        routes = (
+            route("lookups", "board", "idempotent"),
+            # With attempts to spare, only the kind keeps a push from running again.
+            route("pushes", "board", "non_idempotent"),
+            route("verses", "model", "streaming", resumable=True, gapTargetMs=120),
+            route(f"extra{version}", "board", "idempotent"),
+        )
+        self.store.history.put("op/config", published(version, *routes))
 
     def _freeze(self, entry: EntryProcess, for_s: float) -> None:
         self._signal(entry, signal.SIGSTOP)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from soak._promises import Seen, Sent, broken, expected
 
 REGRESSIONS = ()  # seeds that failed once, each with a line on its cause
-SHORT_SEED, SHORT_STEPS = 5, 8
+SHORT_SEED, SHORT_STEPS = 5, 16
 
 
 class SoakTests(unittest.TestCase):
