Prove the register's guard against older pages

Ruled out: that it does nothing. A page that is older ends below what is known and is passed over anyway, but the filling of refused keys looks at its changes first: a value that was removed since came back into force where its key's latest change was refused.

The test reads version 3 (key set, removed, then set to a refused value), then a late page of version 1; without the guard the removed value is in force again.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -106,6 +106,17 @@
             register = absorb(register, service_delta(edits, register.version))
         self.assertEqual((register.errors, register.version), ((), 2))
 
+    def test_an_older_page_brings_back_nothing_that_was_removed(self):
+        edits = [
+            {"workload/w": WORKLOAD},
+            {"workload/w": None},
+            {"workload/w": {"class": "none"}},
+        ]
+        register = absorb(new_register(Source.CATALOGUE), service_delta(edits, 0))
+        self.assertEqual((register.version, view_of(register)), (3, {}))
+        late = absorb(register, service_delta(edits[:1], 0))
+        self.assertEqual(view_of(late), {})
+
     def test_a_document_cannot_give_two_accounts_one_key(self):
         accounts = {name: {"key_sha256": [DIGESTS[0]]} for name in "ab"}
         errors = check_document({"accounts": accounts}).error
