Open slots by group, not by service

Cause: on the grown sites three groups of 24 ranks pass independently, with maps and slow ranks of their own, but one share of open slots held for all: a slow group closed the slots of the others, and got as much as they.

Ruled out: a share by upstream (ranks of a group pass together); weighing the choice by pace as well (the closed slots do that).

Sites with one group are unchanged. The replay of a slow group beside a fast one is in test_direct.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -7,6 +7,7 @@
 a while.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from random import Random
 from typing import NamedTuple
@@ -45,27 +46,18 @@
 class Capacity(NamedTuple):
     """Tell what a service can take now.
 
-    ``rooms`` are the upstreams that may be sent a request; ``slots`` counts the open
-    slots of all that may be used, those at their cold bound included.
+    ``rooms`` are the upstreams that may be sent a request, of groups that have an
+    open slot; ``slots`` counts the open slots of all that may be used, taken or not.
     """
 
     rooms: tuple[Room, ...]
     slots: float
-    open_share: float
-
-    @property
-    def has_open_slot(self) -> bool:
-        """Return whether the service is below the share of slots that is open."""
-        slots = sum(room.upstream.slots for room in self.rooms)
-        return sum(room.in_hand for room in self.rooms) < slots * self.open_share
 
 
 def choose(
     state: State, capacity: Capacity, request: Request, now_ms: Millis
 ) -> Upstream | None:
     """Return the least loaded upstream with a free slot, or None to wait."""
-    if not capacity.has_open_slot:
-        return None
     rooms = [
         room
         for room in capacity.rooms
@@ -80,18 +72,24 @@
 def capacity_of(state: State, service: str, now_ms: Millis) -> Capacity:
     """Return what a service can take now."""
     cold_limit = cold_share(state, service)
-    usable = tuple(_usable(state, service, now_ms))
-    open_share = load_of(state, service).open_share
-    rooms = tuple(
-        Room(
-            upstream,
-            standing.in_hand + state.elsewhere.get(upstream.id, 0),
-        )
-        for upstream, standing in usable
-        if cold_limit is None or standing.sent.count(now_ms) < cold_limit
+    open_shares = load_of(state, service).open_shares
+    slots: Counter[str] = Counter()
+    taken: Counter[str] = Counter()
+    rooms: list[Room] = []
+    for upstream, standing in _usable(state, service, now_ms):
+        in_hand = standing.in_hand + state.elsewhere.get(upstream.id, 0)
+        slots[upstream.group] += upstream.slots
+        taken[upstream.group] += in_hand
+        if cold_limit is None or standing.sent.count(now_ms) < cold_limit:
+            rooms.append(Room(upstream, in_hand))
+    open_slots = {
+        group: count * open_shares.get(group, 1.0) for group, count in slots.items()
+    }
+    free = {group for group, count in open_slots.items() if taken[group] < count}
+    return Capacity(
+        tuple(room for room in rooms if room.upstream.group in free),
+        sum(open_slots.values()),
     )
-    slots = sum(upstream.slots for upstream, _ in usable)
-    return Capacity(rooms, slots * open_share, open_share)
 
 
 def cold_share(state: State, service: str) -> int | None:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -155,10 +155,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceMeasured:
-    """Tell the mean pause between events of a service's streams, just now."""
+    """Tell the mean pause between events of a service's streams, just now.
+
+    ``group`` is the group that answers them, empty where upstreams run by themselves.
+    """
 
     now_ms: Millis
     service: str
+    group: str
     gap_ms: float
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
@@ -2,7 +2,8 @@
 
 Answers the pattern in which more streams than a group can carry at pace fill every
 slot: each pass grows with the streams in hand until the pauses of all of them pass
-the route's bound. A few slots left empty keep all the others on time.
+the route's bound. A few slots left empty keep all the others on time. Each group has
+its own share, since one with a slow rank or a poor map slows only its own streams.
 """
 
 from nutmegslip_decisions.direct._budget import load_of
@@ -13,17 +14,18 @@
 LEAST_SHARE = 0.5  # below it the ranks' fixed costs waste more than the pace wins
 
 
-def with_pace(state: State, service: str, gap_ms: float) -> State:
-    """Open or close slots of a service after its pace was measured."""
+def with_pace(state: State, service: str, group: str, gap_ms: float) -> State:
+    """Open or close slots of a group after its pace was measured."""
     bound_ms = gap_bound_ms(state, service)
     if not bound_ms:
         return state
     load = load_of(state, service)
     target_ms = TARGET_SHARE * bound_ms
     change = GAIN * (target_ms - gap_ms) / target_ms
-    share = min(max(load.open_share * (1 + change), LEAST_SHARE), 1.0)
-    loads = state.loads.set(service, load._replace(open_share=share))
-    return state._replace(loads=loads)
+    before = load.open_shares.get(group, 1.0)
+    share = min(max(before * (1 + change), LEAST_SHARE), 1.0)
+    changed = load._replace(open_shares=load.open_shares.set(group, share))
+    return state._replace(loads=state.loads.set(service, changed))
 
 
 def gap_bound_ms(state: State, service: str) -> int:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_placing.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_placing.py
@@ -72,7 +72,7 @@
         return state, effects
     capacity = capacity_of(state, service, now_ms)
     for ticket in queue:
-        if not capacity.has_open_slot:
+        if not capacity.rooms:
             break
         request = state.requests[ticket]
         if request.deadline_ms <= now_ms:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -47,8 +47,9 @@
             return fail(state, event)
         case Begun(now_ms, ticket):
             return begin(state, ticket, now_ms), ()
-        case PaceMeasured(now_ms, service, gap_ms):
-            return dispatch(with_pace(state, service, gap_ms), service, now_ms)
+        case PaceMeasured(now_ms, service, group, gap_ms):
+            paced = with_pace(state, service, group, gap_ms)
+            return dispatch(paced, service, now_ms)
         case Ended(now_ms, ticket, answered):
             return end(state, ticket, answered, now_ms)
         case Tick(now_ms):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -38,14 +38,15 @@
     """Measure a service from this entry's own requests.
 
     ``hold_ms`` is the mean time in hand, ``start_ms`` the mean time to the first
-    part of an answer. ``open_share`` is the share of slots that may be taken.
+    part of an answer. ``open_shares`` holds, by group, the share of slots that may be
+    taken, where it is not all.
     """
 
     arrivals: Window
     repeats: Window
     hold_ms: float
     start_ms: float
-    open_share: float = 1.0
+    open_shares: Map[str, float] = Map()
 
 
 class GroupDoubt(NamedTuple):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -148,6 +148,11 @@
     rank: GroupRank | None = None
     born_ms: int = 0
 
+    @property
+    def group(self) -> str:
+        """Return the name of its group, empty where it runs by itself."""
+        return "" if self.rank is None else self.rank.group
+
 
 class CallerRequest(NamedTuple):
     """Describe a request that a caller sent, before anything is decided.
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -168,7 +168,7 @@
         try:
             if not self._write(channel, request, upstream):
                 return NotSent("the deadline passed before it was sent")
-            failure = self._read(channel, request)
+            failure = self._read(channel, request, upstream)
             whole = True
         except ChannelBroken as error:
             return Broken(str(error))
@@ -191,7 +191,9 @@
         channel.send(data, SEND_TIMEOUT_S)
         return True
 
-    def _read(self, channel: Channel, request: Request) -> Failure | None:
+    def _read(
+        self, channel: Channel, request: Request, upstream: Upstream
+    ) -> Failure | None:
         answer, fields = self._own_answer(channel, request)
         if fields.not_run:
             channel.read_whole_body(request.deadline_ms)
@@ -201,7 +203,7 @@
                 raise ChannelBroken("a success that the upstream does not vouch for")
             kind = answer.header(b"content-type") or b""
             if kind.startswith(b"text/event-stream"):
-                self._relay(channel, answer, request)
+                self._relay(channel, answer, request, upstream)
                 return None
         elif self._caller.streaming:
             raise ChannelBroken("the stream could not be resumed")
@@ -225,7 +227,9 @@
                 return answer, fields
             channel.read_whole_body(request.deadline_ms)
 
-    def _relay(self, channel: Channel, answer: Answer, request: Request) -> None:
+    def _relay(
+        self, channel: Channel, answer: Answer, request: Request, upstream: Upstream
+    ) -> None:
         self._events.restart()
         last_ms = 0
         read: Callable[[], bytes] = lambda: channel.read_body(  # noqa: E731
@@ -236,7 +240,7 @@
             if events:
                 now_ms = self._machine.clock()
                 if last_ms:
-                    self._machine.measure_gap(request.service, now_ms - last_ms)
+                    self._machine.measure_gap(upstream, now_ms - last_ms)
                 else:
                     self._machine.take(Begun(now_ms, request.ticket))
                 last_ms = now_ms
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_machine.py
@@ -12,6 +12,7 @@
     PaceMeasured,
     Refuse,
     Send,
+    Upstream,
 )
 from nutmegslip_entry.direct._journal import lines_of
 from nutmegslip_entry.direct._meters import Meters
@@ -30,7 +31,7 @@
     ) -> None:
         self._state = direct.State(options)
         self._steps: dict[int, AsyncResult] = {}
-        self._gaps: dict[str, tuple[int, int]] = {}
+        self._gaps: dict[tuple[str, str], tuple[int, int]] = {}
         self._log = log
         self._meters = meters
         self.clock = clock
@@ -52,16 +53,17 @@
         for effect in effects:
             self._pass_on(effect)
 
-    def measure_gap(self, service: str, gap_ms: int) -> None:
+    def measure_gap(self, upstream: Upstream, gap_ms: int) -> None:
         """Remember one pause between events until the pace is taken."""
-        total, count = self._gaps.get(service, (0, 0))
-        self._gaps[service] = (total + gap_ms, count + 1)
+        key = (upstream.service, upstream.group)
+        total, count = self._gaps.get(key, (0, 0))
+        self._gaps[key] = (total + gap_ms, count + 1)
 
     def take_paces(self) -> None:
-        """Reduce the mean pause of each service since the last call."""
+        """Reduce the mean pause of each group since the last call."""
         gaps, self._gaps = self._gaps, {}
-        for service, (total, count) in gaps.items():
-            self.take(PaceMeasured(self.clock(), service, total / count))
+        for (service, group), (total, count) in gaps.items():
+            self.take(PaceMeasured(self.clock(), service, group, total / count))
 
     def ask(self, ticket: int, event: Event) -> Effect:
         """Reduce an event of a request and wait for the request's next step."""
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -362,7 +362,7 @@
         world = World(upstream("m1", "model", slots=20))
         for _ in range(8):
             world.now_ms += 250
-            world.take(PaceMeasured(world.now_ms, "model", 105.0))
+            world.take(PaceMeasured(world.now_ms, "model", "", 105.0))
         taken = sum(
             isinstance(effect, Send)
             for _ in range(20)
@@ -372,12 +372,37 @@
         self.assertGreaterEqual(taken, 10)
         for _ in range(20):
             world.now_ms += 250
-            world.take(PaceMeasured(world.now_ms, "model", 60.0))
-        self.assertEqual(world.state.loads["model"].open_share, 1.0)
+            world.take(PaceMeasured(world.now_ms, "model", "", 60.0))
+        self.assertEqual(world.state.loads["model"].open_shares[""], 1.0)
+
+    def test_a_slow_group_closes_its_own_slots_and_the_other_takes_the_work(self):
+        ranks = [
+            upstream(
+                f"{group}{number}",
+                "model",
+                slots=10,
+                rank=GroupRank(group, 1, number, True, 2),
+            )
+            for group in ("slow", "fast")
+            for number in (0, 1)
+        ]
+        world = World(*ranks)
+        for _ in range(8):
+            world.now_ms += 250
+            world.take(PaceMeasured(world.now_ms, "model", "slow", 105.0))
+            world.take(PaceMeasured(world.now_ms, "model", "fast", 60.0))
+        sent = Counter(
+            effect.upstream.group
+            for _ in range(40)
+            for effect in world.arrive("/verses/1")
+            if isinstance(effect, Send)
+        )
+        self.assertEqual(sent["fast"], 20)
+        self.assertLess(sent["slow"], 18)
 
     def test_services_without_a_bound_on_pauses_keep_their_slots(self):
         world = World(upstream("u1"))
-        world.take(PaceMeasured(world.now_ms, "board", 900.0))
+        world.take(PaceMeasured(world.now_ms, "board", "", 900.0))
         self.assertNotIn("board", world.state.loads)
 
 
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -215,7 +215,7 @@
 
     @rule(number=st.integers(0, ENTRIES - 1), gap_ms=st.floats(10, 500))
     def pace(self, number, gap_ms):
-        self._take(number, PaceMeasured(self.now_ms, "model", gap_ms))
+        self._take(number, PaceMeasured(self.now_ms, "model", "", gap_ms))
 
     def _pick(self, number, pick):
         tickets = sorted(self.in_hand[number])
