Log doubts about groups, open slots, and what a choice rested on

A group that was doubted or trusted again, slots that closed for its pace, the reports of other entries behind a choice, and how long a failing upstream is avoided left none.

Ruled out: a line for each pace measured (four a second and group); it comes when the open share moves by a tenth.

The tests failed before the lines were there.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_journal.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_journal.py
@@ -17,7 +17,9 @@
     Failure,
     ListingRead,
     NotSent,
+    PaceMeasured,
     Refuse,
+    Request,
     Send,
     State,
     StoreLost,
@@ -84,8 +86,11 @@
                         "reason": _reason(failure),
                         "after_ms": event.now_ms - request.sent_at_ms,
                         "attempts": request.sends,
+                        "avoided_ms": _avoided_ms(after, request, event.now_ms),
                     },
                 )
+        case PaceMeasured(_, service, group, gap_ms):
+            yield from _slots(before, after, service, group, gap_ms)
         case Ended(_, ticket, answered):
             request = before.requests.get(ticket)
             if request is not None:
@@ -98,11 +103,47 @@
                         "attempts": request.sends,
                     },
                 )
+    yield from _doubts(before, after)
     yield from (
         line for effect in effects for line in _decided(effect, event, before, after)
     )
 
 
+def _avoided_ms(state: State, request: Request, now_ms: int) -> int:
+    return max(state.standing(request.upstream).avoid_until_ms - now_ms, 0)
+
+
+def _slots(
+    before: State, after: State, service: str, group: str, gap_ms: float
+) -> Iterator[Line]:
+    """Tell of a change by a tenth; smaller ones come four times a second."""
+    old, new = (_open_tenths(state, service, group) for state in (before, after))
+    if old != new:
+        yield _line(
+            "slots-opened" if new > old else "slots-closed",
+            service=service,
+            group=group,
+            open_share=new / 10,
+            gap_ms=round(gap_ms),
+        )
+
+
+def _open_tenths(state: State, service: str, group: str) -> int:
+    load = state.loads.get(service)
+    return round(10 * load.open_shares.get(group, 1.0)) if load else 10
+
+
+def _doubts(before: State, after: State) -> Iterator[Line]:
+    if before.doubts is after.doubts:
+        return
+    for group, doubt in after.doubts.items():
+        if before.doubts.get(group) != doubt:
+            yield _line("group-doubted", group=group, epoch=doubt.epoch)
+    for group, doubt in before.doubts.items():
+        if group not in after.doubts:
+            yield _line("group-trusted", group=group, epoch=doubt.epoch)
+
+
 def _decided(
     effect: Effect, event: Event, before: State, after: State
 ) -> Iterator[Line]:
@@ -118,6 +159,8 @@
                     "route": request.route.name,
                     "version": version,
                     "in_hand": after.standing(upstream.id).in_hand,
+                    "elsewhere": after.elsewhere.get(upstream.id, 0),
+                    "reports_age_ms": _reports_age_ms(after, request.sent_at_ms),
                     "waited_ms": request.sent_at_ms - request.arrived_ms,
                     "left_ms": request.deadline_ms - request.sent_at_ms,
                 },
@@ -153,6 +196,11 @@
             return "the upstream ran it and failed"
 
 
+def _reports_age_ms(state: State, now_ms: int) -> int:
+    """Return the age of the oldest report that the choice rested on."""
+    return max((now_ms - view.heard_ms for view in state.peers.values()), default=0)
+
+
 def _request_id(event: Event, before: State, ticket: int) -> str:
     if isinstance(event, Arrived) and event.request.ticket == ticket:
         return event.request.request_id
--- a/tests/test_direct_journal.py
+++ b/tests/test_direct_journal.py
@@ -10,12 +10,15 @@
 from nutmegslip_decisions.direct import (
     Arrived,
     AttemptFailed,
+    Begun,
     Broken,
     CallerRequest,
     Declined,
     Ended,
     Errored,
+    GroupRank,
     NotSent,
+    PaceMeasured,
     StoreLost,
     UpstreamPublished,
 )
@@ -66,6 +69,27 @@
             with self.subTest(event=type(event).__name__):
                 self.assertEqual(self._lines(event), lines)
 
+    def test_a_doubt_about_a_group_and_its_end(self):
+        rank = GroupRank("g", 4, 0, True, 1)
+        world = self.world = World(upstream("m1", "model", rank=rank))
+        self._arrive(1, "/verses/1")
+        failed = AttemptFailed(world.now_ms, 1, Declined(at_fault="m1"))
+        self.assertIn(("group-doubted", ""), self._lines(failed))
+        world.now_ms += 600
+        self._arrive(2, "/verses/1")
+        begun = self._lines(Begun(world.now_ms, 2))
+        self.assertEqual(begun, [("group-trusted", "")])
+
+    def test_slots_that_close_and_open_by_a_tenth(self):
+        world = self.world = World(upstream("m1", "model", slots=20))
+        found = [
+            line
+            for gap_ms in (100.0, 105.0, 105.0, 91.0, 40.0)
+            for line in self._lines(PaceMeasured(world.now_ms, "model", "", gap_ms))
+        ]
+        names = [name for name, _ in found]
+        self.assertEqual(names, ["slots-closed", "slots-closed", "slots-opened"])
+
     def test_a_failure_keeps_its_reason(self):
         cases = (
             (NotSent("refused"), "refused"),
