--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -16,10 +16,7 @@
 
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._groups import is_usable
-from nutmegslip_decisions.direct._state import (
-    Standing,
-    State,
-)
+from nutmegslip_decisions.direct._state import Standing, State
 from nutmegslip_decisions.direct._types import Request, Service, Upstream
 from nutmegslip_decisions.model import Millis
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_placing.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_placing.py
@@ -105,9 +105,10 @@
 
 def give_up(state: State, request: Request, kind: RefusalKind, now_ms: Millis) -> Step:
     """Refuse a request, with the time to come back where it has not run."""
-    ran = request.may_have_run
-    capacity = capacity_of(state, request.service, now_ms)
-    wait_ms = 0 if ran else return_after_ms(state, request, capacity, now_ms)
+    ran, wait_ms = request.may_have_run, 0
+    if not ran:
+        capacity = capacity_of(state, request.service, now_ms)
+        wait_ms = return_after_ms(state, request, capacity, now_ms)
     return forget(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
 
 
