--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -22,6 +22,7 @@
     RESET = "reset"  # open connections are reset, new ones too
     ONE_WAY = "one-way"  # answers wait until the link is sound again
     SILENT = "silent"  # both directions wait
+    LOST = "lost"  # what comes is dropped, and its connection stays mute
 
 
 DELAY_S = 0.15
@@ -30,7 +31,8 @@
 class Proxy:
     """Stand between callers and one server.
 
-    Bytes are held back and never lost, as a network does that loses packets.
+    But for LOST, bytes are held back and not dropped, as a network does that loses
+    packets.
     """
 
     def __init__(self, address: str) -> None:
@@ -95,6 +97,10 @@
                     gevent.sleep(DELAY_S)
                 while self._link in (Link.SILENT, held_by):
                     self._passing.wait()
+                if self._link is Link.LOST:
+                    while source.recv(READ_BYTES):
+                        pass  # nothing may follow what was lost
+                    return
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
--- a/tests/test_direct_processes.py
+++ b/tests/test_direct_processes.py
@@ -1,17 +1,22 @@
 """Test a real entry on the platform's path against sound and faulty stand-ins."""
 
 import json
+import pathlib
 import signal
+import tempfile
 import unittest
 
 import gevent
 
 from bench.direct_site import KEY, Site, published, route
-from bench.entry_process import ANSWER_MS
+from bench.entry_process import ANSWER_MS, EntryProcess
 from fakes.runners import Fault
 from nutmegslip_runtime.clock import elapsed_ms
 from nutmegslip_runtime.http1 import encode_request
+from soak._proxy import Link, Proxy
 
+IN_FORCE_S = 2.0  # the bound within which what is published is in force
+LOST_S = 5.2  # the call that waited has timed out, and the next one is under way
 SETTLED_S = 1.0  # half the bound within which what is published is in force
 
 
@@ -241,6 +246,31 @@
                 gevent.sleep(0.05)
 
 
+class StoreReturnTests(DirectTestCase):
+    """Replay an outage whose last call is lost just before the store is back."""
+
+    def setUp(self):
+        super().setUp()
+        self.site.entry.end()
+        self.link = Proxy(self.site.store.address)
+        self.addCleanup(self.link.close)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.site.entry = EntryProcess(
+            pathlib.Path(folder.name), "entry-2", self.link.address
+        )
+        self.site.start()
+
+    def test_what_is_published_after_an_outage_is_in_force_in_time(self):
+        self.link.turn(Link.LOST)
+        gevent.sleep(LOST_S)
+        self.link.turn(Link.SOUND)
+        self.site.publish(published(4, route("new", "board", "idempotent")))
+        with gevent.Timeout(IN_FORCE_S):
+            while self.site.ask("/new/1").status != 200:
+                gevent.sleep(0.05)
+
+
 class StopTests(DirectTestCase):
     def test_a_stop_finishes_what_is_in_hand_and_what_still_arrives(self):
         for runner in self.model:
