Send next to nothing to a group too slow to finish

Ruled out: a lower least share always (below one half fixed costs waste more than pace wins); no slots at all (nothing would show that the group is back).

The replay of a slow group fails without it.

--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -400,6 +400,30 @@
         self.assertEqual(sent["fast"], 20)
         self.assertLess(sent["slow"], 18)
 
+    def test_a_group_too_slow_to_finish_gets_next_to_nothing_until_it_is_back(self):
+        ranks = [
+            upstream(
+                f"{group}{number}",
+                "model",
+                slots=10,
+                rank=GroupRank(group, 1, number, True, 2),
+            )
+            for group in ("slow", "fast")
+            for number in (0, 1)
+        ]
+        world = World(*ranks)
+        world.take(PaceMeasured(world.now_ms, "model", "slow", 700.0))
+        sent = Counter(
+            effect.upstream.group
+            for _ in range(40)
+            for effect in world.arrive("/verses/1")
+            if isinstance(effect, Send)
+        )
+        self.assertEqual((sent["fast"], sent["slow"]), (20, 1))
+        world.take(PaceMeasured(world.now_ms, "model", "slow", 80.0))
+        shares = world.state.loads["model"].open_shares
+        self.assertGreaterEqual(shares["slow"], 0.5)
+
     def test_services_without_a_bound_on_pauses_keep_their_slots(self):
         world = World(upstream("u1"))
         world.take(PaceMeasured(world.now_ms, "board", "", 900.0))
