Replace runners under a new id too

Cause: read again, the soak's step that replaces a runner told old id from new by a time that is always 0.2 s, so a new id never came.

Ruled out: a second kind of step (it would change how often runners are replaced).

Also: the tests of slow groups share how they build and count.

--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -27,11 +27,18 @@
     ZONE = "zone"  # an availability zone is taken out, and back
 
 
+class Identity(StrEnum):
+    """Say under which id a runner comes that replaces another."""
+
+    OLD = "old"
+    NEW = "new"
+
+
 class Step(NamedTuple):
     """Hold one fault; times are seconds from the start of traffic.
 
     ``target`` numbers an entry or a runner; a link beyond the runners is that of an
-    entry to the store. ``how`` is a Link or a Fault.
+    entry to the store. ``how`` is a Link, a Fault or an Identity.
     """
 
     at_s: float
@@ -74,6 +81,8 @@
     count = ENTRIES
     if act is Act.LINK:
         count, how = RUNNERS + ENTRIES, draw.choice(_LINKS)
-    elif act in (Act.RUNNER, Act.REPLACE, Act.DRAIN):
+    elif act is Act.REPLACE:
+        count, how = RUNNERS, draw.choice(tuple(Identity))
+    elif act in (Act.RUNNER, Act.DRAIN):
         count, how = RUNNERS, draw.choice(_RUNNER_FAULTS)
     return Step(at_s, act, draw.randrange(count), for_s, str(how))
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -14,7 +14,7 @@
 from nutmegslip_runtime.http1 import HttpRequest
 from soak._promises import EVENTS
 from soak._proxy import Link, Proxy
-from soak._schedule import ENTRIES, RUNNERS, Act, Step
+from soak._schedule import ENTRIES, RUNNERS, Act, Identity, Step
 
 BOARDS = RUNNERS // 2  # the others stream
 EVENT_PAUSE_S = 0.05
@@ -73,7 +73,7 @@
                 gevent.sleep(step.for_s)
                 self.runners[step.target].fault = Fault.NONE
             case Act.REPLACE:
-                self._replace(step.target, keeps_id=step.for_s > 0.1)
+                self._replace(step.target, Identity(step.how))
             case Act.DRAIN:
                 self._list(step.target, state="draining")
                 gevent.sleep(step.for_s)
@@ -141,8 +141,9 @@
         )
         self.store.history.put(f"servers/{runner.name}", entry)
 
-    def _replace(self, number: int, *, keeps_id: bool) -> None:
+    def _replace(self, number: int, identity: Identity) -> None:
         old = self.runners[number]
+        keeps_id = identity is Identity.OLD
         self._past.append(old)
         old.close()
         self._links[number].close()
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -375,7 +375,7 @@
             world.take(PaceMeasured(world.now_ms, "model", "", 60.0))
         self.assertEqual(world.state.loads["model"].open_shares[""], 1.0)
 
-    def test_a_slow_group_closes_its_own_slots_and_the_other_takes_the_work(self):
+    def _two_groups(self):
         ranks = [
             upstream(
                 f"{group}{number}",
@@ -386,39 +386,30 @@
             for group in ("slow", "fast")
             for number in (0, 1)
         ]
-        world = World(*ranks)
-        for _ in range(8):
-            world.now_ms += 250
-            world.take(PaceMeasured(world.now_ms, "model", "slow", 105.0))
-            world.take(PaceMeasured(world.now_ms, "model", "fast", 60.0))
-        sent = Counter(
+        return World(*ranks)
+
+    def _sent_by_group(self, world):
+        return Counter(
             effect.upstream.group
             for _ in range(40)
             for effect in world.arrive("/verses/1")
             if isinstance(effect, Send)
         )
+
+    def test_a_slow_group_closes_its_own_slots_and_the_other_takes_the_work(self):
+        world = self._two_groups()
+        for _ in range(8):
+            world.now_ms += 250
+            world.take(PaceMeasured(world.now_ms, "model", "slow", 105.0))
+            world.take(PaceMeasured(world.now_ms, "model", "fast", 60.0))
+        sent = self._sent_by_group(world)
         self.assertEqual(sent["fast"], 20)
         self.assertLess(sent["slow"], 18)
 
     def test_a_group_too_slow_to_finish_gets_next_to_nothing_until_it_is_back(self):
-        ranks = [
-            upstream(
-                f"{group}{number}",
-                "model",
-                slots=10,
-                rank=GroupRank(group, 1, number, True, 2),
-            )
-            for group in ("slow", "fast")
-            for number in (0, 1)
-        ]
-        world = World(*ranks)
+        world = self._two_groups()
         world.take(PaceMeasured(world.now_ms, "model", "slow", 700.0))
-        sent = Counter(
-            effect.upstream.group
-            for _ in range(40)
-            for effect in world.arrive("/verses/1")
-            if isinstance(effect, Send)
-        )
+        sent = self._sent_by_group(world)
         self.assertEqual((sent["fast"], sent["slow"]), (20, 1))
         world.take(PaceMeasured(world.now_ms, "model", "slow", 80.0))
         shares = world.state.loads["model"].open_shares
