Teach the stand-ins restored stores, leaving runners and pauses

The stand-in store names its era in every answer and can be restored from a copy, after which a watch from a later revision gets 410; the stand-in runner says both and records every arrival.

No measurement: the stand-ins change nothing in the product.

--- a/fakes/runners/_faults.py
+++ b/fakes/runners/_faults.py
@@ -8,6 +8,7 @@
 
     NONE = "none"
     SHED = "shed"  # refuses, and reports that it has not run the request
+    PAUSE = "pause"  # refuses, and asks for a pause with Retry-After
     MISDIRECTED = "misdirected"  # responds as if another runner has the address
     ERROR = "error"  # runs the request and responds 500
     RESET = "reset"  # runs the request and resets the connection
--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -2,11 +2,13 @@
 
 import socket
 from collections import Counter
+from typing import NamedTuple
 
 import gevent
 from gevent.server import StreamServer
 
 from fakes.runners._faults import Fault
+from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import (
     LAST_CHUNK,
     HttpRequest,
@@ -20,18 +22,38 @@
 REQUEST_ID, RESPONSE_SEAL = b"X-Nutmegslip-Request-Id", b"X-Nutmegslip-Response-Seal"
 EXPECTED_INSTANCE = b"x-nutmegslip-expect-instance"
 NOT_EXECUTED = (b"X-Nutmegslip-Not-Executed", b"1")
+LEAVING = (b"Server-Leaving", b"1")
+
+
+class Arrival(NamedTuple):
+    """One request that arrived.
+
+    ``own`` is whether it was meant for this runner. ``leaving`` and ``paused`` are
+    what the answer says: that the runner leaves, and that it asks for a pause.
+    """
+
+    at_ms: int
+    request_id: str
+    own: bool
+    leaving: bool
+    paused: bool
 
 
 class Runner:
     """A fake runner that listens on loopback.
 
-    ``runs`` counts runs by request id; ``requests`` lists every request that ran,
-    and ``disconnected`` the ids of those whose caller disconnected.
+    ``leaving`` is whether it says in each answer that it leaves. ``pause`` is the
+    value of Retry-After that ``Fault.PAUSE`` sends. ``runs`` counts runs by request
+    id; ``requests`` lists every request that ran, and ``disconnected`` the ids of
+    those whose caller disconnected. ``arrivals`` lists every request that arrived.
     """
 
     def __init__(self, name: str, *, events: int = 0, pause_s: float = 0.0) -> None:
         self.name = name
         self.fault = Fault.NONE
+        self.leaving = False
+        self.pause = b"1"
+        self.arrivals: list[Arrival] = []
         self.events = events
         self.pause_s = pause_s
         self.runs: Counter[str] = Counter()
@@ -77,16 +99,26 @@
 
     def _answer(self, sock: socket.socket, request: HttpRequest) -> None:
         expected = request.header(EXPECTED_INSTANCE)
-        if self.fault is Fault.SHED:
-            sock.sendall(encode_head(503, [NOT_EXECUTED], length=0))
-        elif self.fault is Fault.MISDIRECTED or expected not in (
-            None,
-            self.name.encode(),
-        ):
-            sock.sendall(encode_head(421, [], length=0))
+        own = expected in (None, self.name.encode())
+        request_id = (request.header(REQUEST_ID.lower()) or b"").decode()
+        paused = self.fault is Fault.PAUSE and own
+        self.arrivals.append(
+            Arrival(boottime_ms(), request_id, own, self.leaving, paused)
+        )
+        if paused:
+            headers = [NOT_EXECUTED, (b"Retry-After", self.pause)]
+            sock.sendall(encode_head(503, headers + self._leaving_headers(), length=0))
+        elif self.fault is Fault.SHED:
+            headers = [NOT_EXECUTED, *self._leaving_headers()]
+            sock.sendall(encode_head(503, headers, length=0))
+        elif self.fault is Fault.MISDIRECTED or not own:
+            sock.sendall(encode_head(421, self._leaving_headers(), length=0))
         else:
             self._run(sock, request)
 
+    def _leaving_headers(self) -> list[tuple[bytes, bytes]]:
+        return [LEAVING] if self.leaving else []
+
     def _run(self, sock: socket.socket, request: HttpRequest) -> None:
         request_id = (request.header(REQUEST_ID.lower()) or b"").decode()
         self.runs[request_id] += 1
@@ -94,6 +126,7 @@
         headers = [
             (REQUEST_ID, request_id.encode()),
             (RESPONSE_SEAL, f"{self.name}.{request_id}".encode()),
+            *self._leaving_headers(),
         ]
         match self.fault:
             case Fault.SILENT:
--- a/fakes/store/_api.py
+++ b/fakes/store/_api.py
@@ -3,17 +3,21 @@
 import falcon
 
 from fakes import _serving
-from fakes.store._history import History
+from fakes.store._history import Copy, History
 
 
 class StoreServer:
-    """A fake store that listens on loopback; ``down`` makes each call return 503."""
+    """A fake store that listens on loopback; ``down`` makes each call return 503.
+
+    Every answer names the era, which rises with each restore from a copy.
+    """
 
     def __init__(self) -> None:
         self.history = History()
         self.down = False
         self.calls = 0
-        app = falcon.App()
+        self.era = 1
+        app = falcon.App(middleware=[_EraHeader(self)])
         app.add_route("/kv-range", _Range(self))
         app.add_route("/kv-watch", _Watch(self))
         self._server = _serving.start(app, "127.0.0.1", 0)
@@ -31,11 +35,30 @@
                 description="unavailable by an injected fault"
             )
 
+    def restore(self, copy: Copy) -> None:
+        """Lose every change since a copy, in a new era."""
+        self.era += 1
+        self.history.restore(copy)
+
     def close(self) -> None:
         """Stop serving."""
         self._server.stop(timeout=0)
 
 
+class _EraHeader:
+    def __init__(self, server: StoreServer) -> None:
+        self._server = server
+
+    def process_response(
+        self,
+        _request: falcon.Request,
+        response: falcon.Response,
+        _resource: object,
+        _succeeded: bool,
+    ) -> None:
+        response.set_header("Store-Era", str(self._server.era))
+
+
 class _Range:
     def __init__(self, server: StoreServer) -> None:
         self._server = server
--- a/fakes/store/_history.py
+++ b/fakes/store/_history.py
@@ -2,7 +2,7 @@
 
 import base64
 import json
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent.event
 
@@ -10,6 +10,15 @@
 PAGE_ITEMS = 50
 
 
+class Copy(NamedTuple):
+    """Items, history and revision at one moment."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    events: tuple[dict[str, Any], ...]
+    oldest: int
+
+
 class History:
     """Items by key and their history; every change has its own revision."""
 
@@ -46,6 +55,19 @@
         self._events.clear()
         self._oldest = self.revision
 
+    def copy(self) -> "Copy":
+        """Return a copy of all items, from which the store can be restored."""
+        return Copy(self.revision, dict(self._items), tuple(self._events), self._oldest)
+
+    def restore(self, copy: "Copy") -> None:
+        """Lose every change since a copy; its revisions are given out again."""
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._events = list(copy.events)
+        self._oldest = copy.oldest
+        self._changed.set()
+        self._changed.clear()
+
     def page(self, prefix: str, after: str) -> dict[str, Any]:
         """Return one page of items."""
         keys = sorted(key for key in self._items if key.startswith(prefix))
@@ -55,17 +77,20 @@
         return {"items": found, "hasMore": more, "currentRev": self.revision}
 
     def watch(self, prefix: str, after: int, wait_s: float) -> dict[str, Any] | None:
-        """Return the changes after a revision, None if they were compacted."""
+        """Return the changes after a revision, None if this history is not here."""
         with gevent.Timeout(wait_s, False):
-            while after >= self._oldest and not self._events_since(prefix, after):
+            while self._has(after) and not self._events_since(prefix, after):
                 self._changed.wait()
-        if after < self._oldest:
+        if not self._has(after):
             return None
         return {
             "events": self._events_since(prefix, after),
             "currentRev": self.revision,
         }
 
+    def _has(self, revision: int) -> bool:
+        return self._oldest <= revision <= self.revision
+
     def _events_since(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             event
