Keep the ports of entry processes bound until they are given back

Cause: free_ports closed its sockets before the entry listened, so another test run could be given the same port.

The port is now kept by a bound socket that never listens; the entry, which reuses addresses, can listen on it, and no other process is given it. Ruled out: letting the entry choose its ports, since all entries of a soak must share the port of their reports before any of them has started.

--- a/bench/direct_site.py
+++ b/bench/direct_site.py
@@ -126,7 +126,7 @@
 
     def close(self) -> None:
         """Stop everything that this site started."""
-        self.entry.kill()
+        self.entry.close()
         for runner in self.runners.values():
             runner.close()
         self.store.close()
--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -75,11 +75,14 @@
         store: str,
         *,
         ip: str = "127.0.0.1",
-        ports: Ports | None = None,
+        peers_port: int = 0,
         seeds: tuple[str, ...] = (),
     ) -> None:
         self.ip = ip
-        self.ports = ports or free_ports()
+        # Kept bound, so that nothing else gets a port before the entry listens.
+        self._reserved = [reserve_port(ip) for _ in range(len(Ports._fields))]
+        *own, peers = [sock.getsockname()[1] for sock in self._reserved]
+        self.ports = Ports(*own, peers_port or peers)
         self.log = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.toml"
         self._process: subprocess.Popen | None = None
@@ -131,6 +134,12 @@
             self._process.kill()
             self._process.wait()
 
+    def close(self) -> None:
+        """Kill the process and give its ports back."""
+        self.kill()
+        for sock in self._reserved:
+            sock.close()
+
     def get(self, port: int, target: bytes) -> Reply:
         """Send a GET request to a port; the status is 0 without a response."""
         try:
@@ -166,12 +175,13 @@
     return Reply(head.status, head, received, True)
 
 
-def free_ports() -> Ports:
-    """Return ports on which nothing listens."""
-    return Ports(*(_free_port() for _ in Ports._fields))
-
+def reserve_port(ip: str = "127.0.0.1") -> socket.socket:
+    """Return a socket that keeps a port; a listener that reuses addresses gets it.
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    Only the owner asks for this port by number, and no other process is given it
+    while the socket is open.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((ip, 0))
+    return sock
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -8,7 +8,7 @@
 import gevent
 
 from bench.direct_site import make_configuration, make_route
-from bench.entry_process import EntryProcess, free_ports
+from bench.entry_process import EntryProcess, reserve_port
 from fakes.runners import Fault, Runner
 from fakes.store import StoreServer
 from nutmegslip_runtime.http1 import HttpRequest
@@ -35,10 +35,16 @@
         stores = [Proxy(self.store.address) for _ in range(entries)]
         self._links += stores
         ips = [f"127.0.0.{number + 11}" for number in range(entries)]
-        ports = free_ports()
+        # All entries use the same port for their reports.
+        self._peers_port = reserve_port()
         self.entries = [
             EntryProcess(
-                folder, f"entry-{ip}", link.address, ip=ip, ports=ports, seeds=ips[:3]
+                folder,
+                f"entry-{ip}",
+                link.address,
+                ip=ip,
+                peers_port=self._peers_port.getsockname()[1],
+                seeds=ips[:3],
             )
             for ip, link in zip(ips, stores, strict=True)
         ]
@@ -120,7 +126,8 @@
     def close(self) -> None:
         """End everything that this site started."""
         for entry in self.entries:
-            entry.kill()
+            entry.close()
+        self._peers_port.close()
         for link in self._links:
             link.close()
         for runner in (*self._stopped_runners, *self.runners):
--- a/tests/test_direct_processes.py
+++ b/tests/test_direct_processes.py
@@ -7,6 +7,7 @@
 import unittest
 
 import gevent
+from gevent import socket
 
 from bench.direct_site import API_KEY, Site, make_configuration, make_route
 from bench.entry_process import ANSWER_TIMEOUT_MS, EntryProcess
@@ -259,7 +260,7 @@
 
     def setUp(self):
         super().setUp()
-        self.site.entry.kill()
+        self.site.entry.close()
         self.link = Proxy(self.site.store.address)
         self.addCleanup(self.link.close)
         folder = tempfile.TemporaryDirectory()
@@ -281,6 +282,18 @@
                 gevent.sleep(0.05)
 
 
+class PortTests(unittest.TestCase):
+    """Guard against another test run that gets a port before the entry listens."""
+
+    def test_no_other_process_gets_a_port_of_an_entry(self):
+        with tempfile.TemporaryDirectory() as folder:
+            entry = EntryProcess(pathlib.Path(folder), "e", "127.0.0.1:1")
+            self.addCleanup(entry.close)
+            for port in entry.ports:
+                with self.subTest(port), socket.socket() as other:
+                    self.assertRaises(OSError, other.bind, (entry.ip, port))
+
+
 class StopTests(DirectTestCase):
     def test_stop_finishes_current_and_newly_arrived_requests(self):
         for runner in self.model:
