--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -28,15 +28,15 @@
 class Arrival(NamedTuple):
     """One request that arrived.
 
-    ``own`` is whether it was meant for this runner. ``leaving`` and ``paused`` are
-    what the answer says: that the runner leaves, and that it asks for a pause.
+    ``own`` is whether it was meant for this runner. ``leaving`` is whether the answer
+    says that the runner leaves, ``pause_ms`` the pause that it asks for, 0 for none.
     """
 
     at_ms: int
     request_id: str
     own: bool
-    leaving: bool
-    paused: bool
+    leaving: bool = False
+    pause_ms: int = 0
 
 
 class Runner:
@@ -101,11 +101,13 @@
         expected = request.header(EXPECTED_INSTANCE)
         own = expected in (None, self.name.encode())
         request_id = (request.header(REQUEST_ID.lower()) or b"").decode()
-        paused = self.fault is Fault.PAUSE and own
+        pause_ms = 0
+        if self.fault is Fault.PAUSE and own:
+            pause_ms = int(float(self.pause) * 1_000)
         self.arrivals.append(
-            Arrival(boottime_ms(), request_id, own, self.leaving, paused)
+            Arrival(boottime_ms(), request_id, own, self.leaving, pause_ms)
         )
-        if paused:
+        if pause_ms:
             headers = [NOT_EXECUTED, (b"Retry-After", self.pause)]
             sock.sendall(encode_head(503, headers + self._leaving_headers(), length=0))
         elif self.fault is Fault.SHED:
--- a/fakes/store/_history.py
+++ b/fakes/store/_history.py
@@ -50,6 +50,10 @@
         self._items.pop(key, None)
         self._record_event({"key": key, "revision": self.revision, "removed": True})
 
+    def listed(self) -> tuple[str, ...]:
+        """Return the keys of all items."""
+        return tuple(self._items)
+
     def compact(self) -> None:
         """Drop the history so far."""
         self._events.clear()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -24,15 +24,24 @@
     Send,
     StoreLost,
     StoreReached,
+    StoreRestored,
     Tick,
+    UpstreamLeaving,
+    UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
 )
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
 from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._store_position import (
+    StorePosition,
+    Verdict,
+    judge,
+)
 from nutmegslip_decisions.direct._types import (
     Account,
     CallerRequest,
@@ -85,15 +94,22 @@
     "Service",
     "State",
     "StoreLost",
+    "StorePosition",
     "StoreReached",
+    "StoreRestored",
     "Target",
     "Tick",
     "Upstream",
+    "UpstreamLeaving",
+    "UpstreamPaused",
     "UpstreamPublished",
     "UpstreamRemoved",
+    "Verdict",
     "ZonesOut",
     "fresh_peers",
+    "is_paused",
     "is_ready",
+    "judge",
     "load_report",
     "reduce",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -45,11 +45,18 @@
 
     ``candidates`` are the upstreams that may receive a request, in groups with a
     free open slot; ``slots`` counts the open slots of all usable upstreams, whether
-    taken or free.
+    taken or free. ``resume_ms`` is when the first paused upstream accepts requests
+    again, None if none is paused.
     """
 
     candidates: tuple[Candidate, ...]
     slots: float
+    resume_ms: Millis | None = None
+
+    @property
+    def is_paused(self) -> bool:
+        """Return whether every usable upstream has asked for a pause."""
+        return not self.slots and self.resume_ms is not None
 
 
 def choose(
@@ -78,7 +85,11 @@
     slots: Counter[str] = Counter()
     taken: Counter[str] = Counter()
     candidates: list[Candidate] = []
+    pauses: list[Millis] = []
     for upstream, stats in _usable_upstreams(state, service, now_ms):
+        if stats.paused_until_ms > now_ms:
+            pauses.append(stats.paused_until_ms)
+            continue
         in_flight = stats.in_flight + state.peer_in_flight.get(upstream.id, 0)
         slots[upstream.group] += upstream.slots
         taken[upstream.group] += in_flight
@@ -95,6 +106,7 @@
             if candidate.upstream.group in free_groups
         ),
         sum(open_slots.values()),
+        min(pauses, default=None),
     )
 
 
@@ -120,6 +132,8 @@
         upstream = state.upstreams[upstream_id]
         if upstream.leaving or upstream.zone in state.zones_out:
             continue
+        if upstream_id in state.withheld:
+            continue
         if not is_usable(state, upstream, now_ms):
             continue
         yield upstream, state.stats_of(upstream_id)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -1,7 +1,7 @@
 """Send, queue or refuse requests."""
 
 from nutmegslip_decisions.direct._budget import count_retry
-from nutmegslip_decisions.direct._choice import capacity_of, choose
+from nutmegslip_decisions.direct._choice import Capacity, capacity_of, choose
 from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
@@ -24,11 +24,13 @@
         upstream = choose(state, capacity, request, now_ms)
         if upstream is not None:
             return send(state, request, upstream.id, now_ms)
-    wait_ms = predicted_wait_ms(state, request, capacity)
+    wait_ms = predicted_wait_ms(state, request, capacity, now_ms)
     if wait_ms is None:
         return refuse(state, request, RefusalKind.NO_UPSTREAM, now_ms)
     if not request.streaming and now_ms + wait_ms > latest_send_ms(state, request):
         return refuse(state, request, RefusalKind.OVERLOADED, now_ms)
+    if _is_paused_past_deadline(request, capacity):
+        return refuse(state, request, RefusalKind.OVERLOADED, now_ms)
     return enqueue(state, request), ()
 
 
@@ -88,19 +90,39 @@
 def refuse_overdue(state: State, now_ms: Millis) -> Step:
     """Refuse queued requests that a slot can no longer serve on time."""
     effects: tuple[Effect, ...] = ()
-    for ticket in [ticket for queue in state.waiting.values() for ticket in queue]:
-        request = state.requests[ticket]
-        if request.deadline_ms <= now_ms:
-            kind = RefusalKind.DEADLINE
-        elif latest_send_ms(state, request) <= now_ms and not request.streaming:
-            kind = RefusalKind.OVERLOADED
-        else:
+    for service, queue in state.waiting.items():
+        if not queue:
             continue
-        state, more = refuse(state, request, kind, now_ms)
-        effects += more
+        capacity = capacity_of(state, service, now_ms)
+        for ticket in queue:
+            request = state.requests[ticket]
+            kind = _overdue_kind(state, request, capacity, now_ms)
+            if kind is None:
+                continue
+            state, more = refuse(state, request, kind, now_ms)
+            effects += more
     return state, effects
 
 
+def _overdue_kind(
+    state: State, request: Request, capacity: Capacity, now_ms: Millis
+) -> RefusalKind | None:
+    """Return why a queued request is refused, None if it may still be served."""
+    if request.deadline_ms <= now_ms:
+        return RefusalKind.DEADLINE
+    # While every upstream is paused, no slot can become free before a pause ends.
+    free_ms = capacity.resume_ms if capacity.is_paused else now_ms
+    if latest_send_ms(state, request) <= free_ms and not request.streaming:
+        return RefusalKind.OVERLOADED
+    if _is_paused_past_deadline(request, capacity):
+        return RefusalKind.OVERLOADED
+    return None
+
+
+def _is_paused_past_deadline(request: Request, capacity: Capacity) -> bool:
+    return capacity.is_paused and capacity.resume_ms >= request.deadline_ms
+
+
 def refuse(state: State, request: Request, kind: RefusalKind, now_ms: Millis) -> Step:
     """Refuse a request, with a retry delay if it has not run."""
     ran, wait_ms = request.may_have_run, 0
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -70,6 +70,42 @@
     now_ms: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store came back from a copy that lacks its last changes.
+
+    ``era`` counts such returns. A full list follows.
+    """
+
+    now_ms: Millis
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """An upstream said in an answer that it leaves.
+
+    ``misdirected`` is whether the answer is of another upstream with its address.
+    """
+
+    now_ms: Millis
+    upstream: Upstream
+    misdirected: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamPaused:
+    """An upstream rejected a request and asked for none for a while.
+
+    ``asked_ms`` is None where the value that it sent, ``text``, cannot be read.
+    """
+
+    now_ms: Millis
+    upstream: Upstream
+    asked_ms: int | None
+    text: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class OptionsChanged:
     """The settings of this process changed."""
@@ -190,6 +226,9 @@
     | ListingRead
     | StoreLost
     | StoreReached
+    | StoreRestored
+    | UpstreamLeaving
+    | UpstreamPaused
     | OptionsChanged
     | PeerReported
     | RequestArrived
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
@@ -4,6 +4,16 @@
 
 from immutables import Map
 
+from nutmegslip_decisions.direct._departures import (
+    announces_leaving,
+    with_announcement,
+    with_removal,
+)
+from nutmegslip_decisions.direct._restored import (
+    is_superseded,
+    with_revived_withheld,
+    without_withheld,
+)
 from nutmegslip_decisions.direct._routes import RouteTable
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Configuration, Upstream
@@ -19,22 +29,36 @@
     return state._replace(configuration=configuration, table=table)
 
 
-def with_upstream(state: State, upstream: Upstream) -> State:
-    """Add or update an upstream; a new incarnation starts without failures."""
+def with_upstream(state: State, upstream: Upstream, now_ms: Millis) -> State:
+    """Add or update an upstream; a new incarnation starts without failures.
+
+    An incarnation that has said that it leaves stays leaving, whatever is listed.
+    """
     old = state.upstreams.get(upstream.id)
+    if announces_leaving(state, upstream):
+        upstream = upstream._replace(leaving=True)
     upstreams = state.upstreams.set(upstream.id, upstream)
     lapsing, upstream_stats = state.lapsing, state.upstream_stats
     if upstream.id in lapsing:
         lapsing = lapsing.delete(upstream.id)
     if old is not None and old.born_ms != upstream.born_ms and old.id in upstream_stats:
-        fresh = upstream_stats[old.id]._replace(failures=0, avoid_until_ms=0)
+        fresh = upstream_stats[old.id]._replace(
+            failures=0, avoid_until_ms=0, paused_until_ms=0
+        )
         upstream_stats = upstream_stats.set(old.id, fresh)
-    return _with_service_index(
+    departures = state.departures
+    if upstream.id in departures:
+        departures = departures.delete(upstream.id)
+    state = _with_service_index(
         state._replace(
-            upstreams=upstreams, lapsing=lapsing, upstream_stats=upstream_stats
+            upstreams=upstreams,
+            lapsing=lapsing,
+            upstream_stats=upstream_stats,
+            departures=departures,
         ),
         {upstream.service} | ({old.service} if old else set()),
     )
+    return with_announcement(state, upstream, now_ms) if upstream.leaving else state
 
 
 def without_upstream(state: State, upstream_id: str, now_ms: Millis) -> State:
@@ -48,7 +72,7 @@
     if state.store_lost or now_ms < state.lapse_until_ms:
         until_ms = max(state.lapse_until_ms, now_ms)
         return state._replace(lapsing=state.lapsing.set(upstream_id, until_ms))
-    return _delete_upstream(state, upstream_id)
+    return _delete_upstream(state, upstream_id, now_ms)
 
 
 def with_listing(
@@ -56,8 +80,10 @@
 ) -> State:
     """Replace the list of upstreams."""
     listed = {upstream.id for upstream in upstreams}
+    state = with_revived_withheld(state, upstreams, now_ms)
     for upstream in upstreams:
-        state = with_upstream(state, upstream)
+        if not is_superseded(state, upstream, now_ms):
+            state = with_upstream(state, upstream, now_ms)
     for upstream_id in [name for name in state.upstreams if name not in listed]:
         state = without_upstream(state, upstream_id, now_ms)
     return state
@@ -67,12 +93,13 @@
     """Remove the upstreams that were not listed again in time."""
     for upstream_id, until_ms in state.lapsing.items():
         if until_ms <= now_ms:
-            state = _delete_upstream(state, upstream_id)
+            state = _delete_upstream(state, upstream_id, now_ms)
     return state
 
 
-def _delete_upstream(state: State, upstream_id: str) -> State:
+def _delete_upstream(state: State, upstream_id: str, now_ms: Millis) -> State:
     old = state.upstreams[upstream_id]
+    state = with_removal(without_withheld(state, upstream_id), old, now_ms)
     lapsing = state.lapsing
     if upstream_id in lapsing:
         lapsing = lapsing.delete(upstream_id)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -1,5 +1,10 @@
 """The reducer of an entry that sends to upstreams directly."""
 
+from nutmegslip_decisions.direct._departures import (
+    with_announcement,
+    with_other_announcement,
+    without_forgotten,
+)
 from nutmegslip_decisions.direct._dispatch import (
     Step,
     dispatch,
@@ -19,12 +24,16 @@
     ResponseStarted,
     StoreLost,
     StoreReached,
+    StoreRestored,
     Tick,
+    UpstreamLeaving,
+    UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
 )
 from nutmegslip_decisions.direct._pace import with_pace
+from nutmegslip_decisions.direct._pauses import with_pause
 from nutmegslip_decisions.direct._peers import with_report, without_stale
 from nutmegslip_decisions.direct._published import (
     with_configuration,
@@ -39,6 +48,12 @@
     handle_failure,
     record_start,
 )
+from nutmegslip_decisions.direct._restored import (
+    with_restored_store,
+    with_zones_read,
+    without_copy,
+    without_withheld,
+)
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.model import Millis
 
@@ -64,11 +79,12 @@
         case ConfigurationPublished(_, configuration):
             return with_configuration(state, configuration), ()
         case UpstreamPublished(now_ms, upstream):
-            return dispatch_all(with_upstream(state, upstream), now_ms)
+            state = without_withheld(state, upstream.id)
+            return dispatch_all(with_upstream(state, upstream, now_ms), now_ms)
         case UpstreamRemoved(now_ms, upstream_id):
             return without_upstream(state, upstream_id, now_ms), ()
         case ZonesOut(now_ms, zones):
-            return dispatch_all(state._replace(zones_out=zones), now_ms)
+            return dispatch_all(with_zones_read(state, zones, now_ms), now_ms)
         case ListingRead(now_ms, upstreams):
             return dispatch_all(with_listing(state, upstreams, now_ms), now_ms)
         case StoreLost():
@@ -76,6 +92,14 @@
         case StoreReached(now_ms):
             until_ms = now_ms + state.options.rejoin_ms
             return state._replace(store_lost=False, lapse_until_ms=until_ms), ()
+        case StoreRestored(now_ms):
+            return with_restored_store(state, now_ms), ()
+        case UpstreamLeaving(now_ms, upstream, misdirected):
+            if misdirected:
+                return with_other_announcement(state, upstream, now_ms), ()
+            return with_announcement(state, upstream, now_ms), ()
+        case UpstreamPaused(now_ms, upstream, asked_ms):
+            return with_pause(state, upstream, asked_ms, now_ms), ()
         case OptionsChanged(_, options):
             return state._replace(options=options), ()
 
@@ -87,6 +111,7 @@
 
 def _tick(state: State, now_ms: Millis) -> Step:
     state = without_stale(without_lapsed(state, now_ms), now_ms)
+    state = without_forgotten(without_copy(state, now_ms), now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
     return state, (*refused, *sent)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -16,12 +16,17 @@
 
 
 class UpstreamStats(NamedTuple):
-    """Statistics of an upstream from this entry's own attempts."""
+    """Statistics of an upstream from this entry's own attempts.
+
+    Until ``avoid_until_ms`` others are preferred to it; until ``paused_until_ms``,
+    which the upstream itself asked for, nothing is sent to it.
+    """
 
     in_flight: int = 0
     sent: Window = Window(COLD_BUCKET_MS, COLD_WINDOW_MS)
     failures: int = 0
     avoid_until_ms: Millis = 0
+    paused_until_ms: Millis = 0
 
 
 _NO_STATS = UpstreamStats()
@@ -60,12 +65,28 @@
     closed_until_ms: Millis
 
 
+class Departure(NamedTuple):
+    """An incarnation of an upstream that leaves or has gone.
+
+    ``announced`` is whether it has said that it leaves. ``forget_ms`` is when a
+    removed incarnation is forgotten, None while it is listed.
+    """
+
+    born_ms: int
+    announced: bool
+    forget_ms: Millis | None
+
+
 class State(NamedTuple):
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
     upstream. ``lapsing`` maps removed upstreams to the time until which they stay in
-    use. ``waiting`` holds the queues of tickets, by service.
+    use. Until ``copy_until_ms`` the list may be that of a copy from which the store
+    was restored; ``withheld`` maps the upstreams that it revived to the time until
+    which they get no requests. ``zones_read`` are the zones out of service by the
+    list, ``zones_out`` those in force. ``waiting`` holds the queues of tickets, by
+    service.
     """
 
     options: Options
@@ -76,6 +97,10 @@
     lapsing: Map[str, Millis] = Map()
     store_lost: bool = False
     lapse_until_ms: Millis = 0
+    copy_until_ms: Millis = 0
+    departures: Map[str, Departure] = Map()
+    withheld: Map[str, Millis] = Map()
+    zones_read: frozenset[str] = frozenset()
     zones_out: frozenset[str] = frozenset()
     upstream_stats: Map[str, UpstreamStats] = Map()
     peers: Map[str, PeerReport] = Map()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
@@ -6,6 +6,7 @@
 which a slot is likely free.
 """
 
+import math
 from itertools import takewhile
 
 import xxhash
@@ -40,9 +41,11 @@
 
 
 def predicted_wait_ms(
-    state: State, request: Request, capacity: Capacity
+    state: State, request: Request, capacity: Capacity, now_ms: Millis
 ) -> float | None:
     """Return the time until a slot is likely free, None if there are no slots."""
+    if capacity.is_paused:
+        return max(capacity.resume_ms - now_ms, 0)
     if not capacity.slots:
         return None
     queue = state.waiting.get(request.service, ())
@@ -69,17 +72,19 @@
 
     A caller retries once. During an outage the delay is close to the longest that the
     caller waits, since the outage may last as long again; otherwise it follows from
-    the queue. Jitter keeps callers from retrying at the same time.
+    the queue. While every upstream is paused, it is not shorter than the pause. Jitter
+    keeps callers from retrying at the same time.
     """
     jitter = xxhash.xxh3_64_intdigest(request.request_id.encode()) % 1_000 / 1_000
     max_delay_ms = (request.deadline_ms - now_ms) * MAX_RETRY_DELAY_SHARE
-    wait_ms = predicted_wait_ms(state, request, capacity)
+    wait_ms = predicted_wait_ms(state, request, capacity, now_ms)
     if wait_ms is None:
         return max(int(max_delay_ms * (1 - OUTAGE_JITTER_SHARE * jitter)), 1)
     delay_ms = max(wait_ms, MIN_RETRY_DELAY_MS) + jitter * RETRY_JITTER_MS
     if delay_ms > max_delay_ms:
         delay_ms = max_delay_ms * (1 + jitter) / 2
-    return max(int(delay_ms), 1)
+    min_delay_ms = math.ceil(wait_ms) if capacity.is_paused else 1
+    return max(int(delay_ms), min_delay_ms)
 
 
 def _precedes(state: State, request: Request, ticket: int) -> bool:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
@@ -2,7 +2,12 @@
 
 from nutmegslip_decisions.experts.rollout._phases import IDENTITY_COUNT
 from nutmegslip_decisions.experts.rollout._reduce import reduce
-from nutmegslip_decisions.experts.rollout._state import Idle, Options, State
+from nutmegslip_decisions.experts.rollout._state import (
+    Idle,
+    Options,
+    Preparing,
+    State,
+)
 from nutmegslip_decisions.experts.rollout._types import (
     Arm,
     ChangeAbandoned,
@@ -49,6 +54,7 @@
     "OrderOutcome",
     "Outcome",
     "Prepare",
+    "Preparing",
     "RankReport",
     "ReadLayout",
     "ReadReports",
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -6,6 +6,7 @@
     AnswerFields,
     CallerFields,
     HeaderCodec,
+    Pause,
 )
 from nutmegslip_entry.direct._log_lines import log_lines
 from nutmegslip_entry.direct._pool import Pool
@@ -19,6 +20,7 @@
     "Connection",
     "ExpertCounts",
     "HeaderCodec",
+    "Pause",
     "Pool",
     "Program",
     "RankClient",
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -212,7 +212,7 @@
     def _relay_answer(
         self, connection: ClientConnection, request: Request, upstream: Upstream
     ) -> Failure | None:
-        answer, fields = self._read_own_answer(connection, request)
+        answer, fields = self._read_own_answer(connection, request, upstream)
         if fields.not_run:
             connection.read_whole_body(request.deadline_ms)
             return Declined(fields.misdirected, fields.at_fault)
@@ -238,13 +238,14 @@
         return None
 
     def _read_own_answer(
-        self, connection: ClientConnection, request: Request
+        self, connection: ClientConnection, request: Request, upstream: Upstream
     ) -> tuple[ResponseHead, AnswerFields]:
         """Return the answer to this request; skip late answers to earlier requests."""
         head_only = self._http_request.method == b"HEAD"
         while True:
             answer = connection.read_head(request.deadline_ms, head_request=head_only)
             fields = self._header_codec.answer_fields(answer)
+            self._machine.record_answer(upstream, fields)
             if fields.request_id in (None, request.request_id):
                 return answer, fields
             connection.read_whole_body(request.deadline_ms)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -10,18 +10,26 @@
 
 import gevent
 
-from nutmegslip_decisions.direct import ExpertLayout, Upstream, fresh_peers
+from nutmegslip_decisions.direct import (
+    ExpertLayout,
+    StorePosition,
+    Upstream,
+    fresh_peers,
+    is_paused,
+)
 from nutmegslip_decisions.experts import rollout
 from nutmegslip_decisions.experts.rollout import (
     ChangeAbandoned,
     ChangeCompleted,
     Group,
     GroupUpdated,
+    Idle,
     LayoutRead,
     LoadsMeasured,
     Order,
     OrderOutcome,
     Outcome,
+    Preparing,
     RankReport,
     ReadLayout,
     ReadReports,
@@ -82,14 +90,14 @@
         rank_client: RankClient,
         address: str,
         identity: int,
-        revision: Callable[[], int],
+        position: Callable[[], StorePosition],
         log: RateLimitedLog,
     ) -> None:
         self._machine = machine
         self._rank_client = rank_client
         self._address = address
         self._identity = identity
-        self._revision = revision
+        self._position = position
         self._log = log
         self._rollouts: dict[str, rollout.State] = {}
         self._members: dict[str, dict[str, Upstream]] = {}
@@ -109,7 +117,8 @@
             )
             if sample_due:
                 self._last_sampled_ms = now_ms
-            fence = self._revision() * rollout.IDENTITY_COUNT + self._identity
+            order = self._position().order
+            fence = order * rollout.IDENTITY_COUNT + self._identity
             for name, layout, group in self._groups():
                 if name not in self._rollouts:
                     options = rollout.Options(
@@ -118,7 +127,7 @@
                     self._rollouts[name] = rollout.State(options)
                 self._dispatch(name, GroupUpdated(now_ms, group))
                 self._dispatch(name, Tick(now_ms, is_leader, fence))
-                if sample_due and group is not None:
+                if sample_due and group is not None and self._is_settled(group, now_ms):
                     gevent.spawn(self._sample_loads, name, group, layout)
 
     def _is_leader(self, now_ms: int) -> bool:
@@ -127,6 +136,26 @@
         peers = fresh_peers(self._machine.state, now_ms, LEADER_TIMEOUT_MS)
         return all(_address_key(self._address) < _address_key(peer) for peer in peers)
 
+    def _is_settled(self, group: Group, now_ms: int) -> bool:
+        """Return whether a change of the group's map can last.
+
+        A group loses its map when a rank leaves. A paused rank gets no calls.
+        """
+        return not any(
+            rank.leaving or is_paused(self._machine.state, rank.id, now_ms)
+            for rank in self._ranks_of(group)
+        )
+
+    def _is_withheld(self, name: str, rank: Upstream) -> bool:
+        """Return whether a paused rank gets no orders.
+
+        Once a pass is held the whole group stands still, so orders go out anyway.
+        """
+        phase = self._rollouts[name].phase
+        return isinstance(phase, Idle | Preparing) and is_paused(
+            self._machine.state, rank.id, self._machine.clock()
+        )
+
     def _groups(self) -> Iterator[tuple[str, ExpertLayout, Group | None]]:
         """Yield each group with experts; its Group is None if it is incomplete."""
         state = self._machine.state
@@ -178,6 +207,8 @@
         return [members[rank] for rank in group.ranks]
 
     def _send_order(self, name: str, rank: Upstream, effect: SendOrder) -> None:
+        if self._is_withheld(name, rank):
+            return  # sent again after the retry interval
         outcome = self._rank_client.send_order(
             rank, effect.epoch, effect.fence, effect.order
         )
@@ -187,6 +218,8 @@
         )
 
     def _read_report(self, name: str, rank: Upstream) -> None:
+        if is_paused(self._machine.state, rank.id, self._machine.clock()):
+            return  # the change waits for a fresh report
         report = self._rank_client.report(rank)
         if report is not None:
             self._dispatch(name, ReportReceived(self._machine.clock(), rank.id, report))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_header_codec.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_header_codec.py
@@ -14,13 +14,24 @@
     timeout_ms: int | None
 
 
+class Pause(NamedTuple):
+    """An upstream's wish to get no requests for a while.
+
+    ``asked_ms`` is None where the header's ``text`` cannot be read.
+    """
+
+    asked_ms: int | None
+    text: str
+
+
 class AnswerFields(NamedTuple):
     """Fields of an upstream's answer headers.
 
     ``request_id`` is None if the upstream sends none. ``sealed`` is whether the
     upstream attests the body. ``not_run`` is whether the request was not executed.
     ``misdirected`` is whether another upstream has the address. ``at_fault`` names
-    the upstream that prevented the answer.
+    the upstream that prevented the answer. ``leaving`` is whether the upstream that
+    answered leaves, ``pause`` its wish for a pause, None if it has none.
     """
 
     request_id: str | None
@@ -28,6 +39,8 @@
     not_run: bool
     misdirected: bool
     at_fault: str
+    leaving: bool = False
+    pause: Pause | None = None
 
 
 class HeaderCodec(Protocol):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -24,6 +24,9 @@
     State,
     StoreLost,
     StoreReached,
+    StoreRestored,
+    UpstreamLeaving,
+    UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
@@ -74,6 +77,22 @@
             yield _log_line("store-lost", reason=detail)
         case StoreReached():
             yield _log_line("store-reached")
+        case StoreRestored(_, era):
+            yield _log_line("store-restored", era=era)
+        case UpstreamLeaving(_, upstream):
+            if after.departures is not before.departures:
+                yield _log_line("upstream-leaving", upstream=upstream.id)
+        case UpstreamPaused(now_ms, upstream, asked_ms, text):
+            if asked_ms is None:
+                yield _log_line("pause-unreadable", upstream=upstream.id, value=text)
+            else:
+                until_ms = after.stats_of(upstream.id).paused_until_ms
+                yield _log_line(
+                    "upstream-paused",
+                    upstream=upstream.id,
+                    pause_ms=max(until_ms - now_ms, 0),
+                    asked_ms=asked_ms,
+                )
         case AttemptFailed(_, ticket, failure):
             request = before.requests.get(ticket)
             if request is not None:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -13,12 +13,19 @@
 from prometheus_client import generate_latest
 
 from nutmegslip_decisions import direct
-from nutmegslip_decisions.direct import Event, OptionsChanged, RequestLimits, Tick
+from nutmegslip_decisions.direct import (
+    Event,
+    OptionsChanged,
+    RequestLimits,
+    StorePosition,
+    Tick,
+    Upstream,
+)
 from nutmegslip_decisions.experts.rollout import IDENTITY_COUNT
 from nutmegslip_entry.direct._callers import Caller, Connection
 from nutmegslip_entry.direct._exchange import Exchanges
 from nutmegslip_entry.direct._expert_maps import ExpertMapManager, RankClient
-from nutmegslip_entry.direct._header_codec import HeaderCodec
+from nutmegslip_entry.direct._header_codec import AnswerFields, HeaderCodec
 from nutmegslip_entry.direct._metrics import Metrics
 from nutmegslip_entry.direct._peers import Peers
 from nutmegslip_entry.direct._pool import Pool
@@ -42,13 +49,16 @@
     """A source of published configuration and upstreams."""
 
     calls: int
-    revision: int
+    position: StorePosition
 
     def run(self) -> None:
         """Read and watch until killed."""
 
 
-RankClientFactory = Callable[[Pool, Callable[[], int], RateLimitedLog], RankClient]
+AnswerRecorder = Callable[[Upstream, AnswerFields], None]
+RankClientFactory = Callable[
+    [Pool, Callable[[], int], RateLimitedLog, AnswerRecorder], RankClient
+]
 FeedFactory = Callable[[str, Callable[[Event], None], RateLimitedLog], Feed]
 
 
@@ -85,10 +95,12 @@
         )
         self._expert_maps = ExpertMapManager(
             self._machine,
-            make_rank_client(self._pool, boottime_ms, self._log),
+            make_rank_client(
+                self._pool, boottime_ms, self._log, self._machine.record_answer
+            ),
             settings.peers[0],
             secrets.randbelow(IDENTITY_COUNT - 1) + 1,
-            lambda: self._feed.revision,
+            lambda: self._feed.position,
             self._log,
         )
         self._connections: set[Connection] = set()
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -13,7 +13,10 @@
     Refuse,
     Send,
     Upstream,
+    UpstreamLeaving,
+    UpstreamPaused,
 )
+from nutmegslip_entry.direct._header_codec import AnswerFields
 from nutmegslip_entry.direct._log_lines import log_lines
 from nutmegslip_entry.direct._metrics import Metrics
 from nutmegslip_runtime.eventlog import RateLimitedLog
@@ -53,6 +56,14 @@
         for effect in effects:
             self._deliver_effect(effect)
 
+    def record_answer(self, upstream: Upstream, fields: AnswerFields) -> None:
+        """Dispatch what the head of an answer says about its upstream."""
+        now_ms = self.clock()
+        if fields.leaving:
+            self.dispatch(UpstreamLeaving(now_ms, upstream, fields.misdirected))
+        if fields.pause is not None:
+            self.dispatch(UpstreamPaused(now_ms, upstream, *fields.pause))
+
     def record_gap(self, upstream: Upstream, gap_ms: int) -> None:
         """Record one gap between stream events for the next ``dispatch_paces``."""
         key = (upstream.service, upstream.group)
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -150,6 +150,51 @@
         NO_REMEDY,
         ("service", "group", "open_share", "gap_ms"),
     ),
+    EventKind(
+        2019,
+        "store-restored",
+        Level.WARNING,
+        "The store came back from a copy; it is listed again, and what it lacks stays "
+        "in force until it was written again.",
+        "None needed; if upstreams are missing afterwards, look for the ones that no "
+        "longer reach the store.",
+        ("era",),
+    ),
+    EventKind(
+        2020,
+        "store-answer-stale",
+        Level.WARNING,
+        "The store's answer is older than one read before; it is ignored.",
+        "If this recurs, look for a copy of the store that still answers.",
+        ("era", "revision"),
+    ),
+    EventKind(
+        2021,
+        "upstream-leaving",
+        Level.INFO,
+        "An upstream said in an answer that it leaves; it gets no new requests.",
+        NO_REMEDY,
+        ("upstream",),
+    ),
+    EventKind(
+        2022,
+        "upstream-paused",
+        Level.WARNING,
+        "An upstream rejected a request and asked for a pause; it gets no requests "
+        "until the pause ends.",
+        "If 'pause_ms' is below 'asked_ms', check the upstream's Retry-After: it is "
+        "over the longest pause that is kept.",
+        ("upstream", "pause_ms", "asked_ms"),
+    ),
+    EventKind(
+        2023,
+        "pause-unreadable",
+        Level.WARNING,
+        "An upstream asked for a pause in a form that cannot be read; it is treated as "
+        "full.",
+        "Fix the upstream's Retry-After: a number of seconds.",
+        ("upstream", "value"),
+    ),
     EventKind(
         2101,
         "request-sent",
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -7,6 +7,7 @@
 
 from bench.direct_site import caller_headers
 from bench.entry_process import EntryProcess, exchange
+from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import ClientConnection, NotConnected
 from soak._guarantees import ReceivedResponse, SentRequest
 
@@ -35,16 +36,20 @@
         self._sending = False
 
     def send_request(
-        self, rng: Random, connection: ClientConnection
+        self, rng: Random, connection: ClientConnection, entry: str
     ) -> ReceivedResponse:
         """Send one request on an open connection; record and return the response."""
         kind, prefix = rng.choice(KINDS)
         request_id = f"q{next(self._request_numbers)}"
         target = f"{prefix}{rng.randrange(9)}?of={request_id}".encode()
         body = rng.randbytes(rng.choice((0, 20, 3_000)))
-        sent = self.sent[request_id] = SentRequest(request_id, kind, target, body)
+        sent = self.sent[request_id] = SentRequest(
+            request_id, kind, target, body, entry, boottime_ms()
+        )
         reply = exchange(connection, b"POST", target, caller_headers(request_id), body)
-        response = ReceivedResponse(sent, reply.status, reply.body, reply.complete)
+        response = ReceivedResponse(
+            sent, reply.status, reply.body, reply.complete, boottime_ms()
+        )
         self.received.append(response)
         return response
 
@@ -53,18 +58,19 @@
         connection: ClientConnection | None = None
         while self._sending:
             if connection is None or not connection.is_reusable:
-                connection = self._connect(rng)
+                entry = rng.choice(self._entries)
+                connection = self._connect(entry)
             if connection is None:
                 gevent.sleep(BACKOFF_S)
                 continue
-            response = self.send_request(rng, connection)
+            response = self.send_request(rng, connection, entry.ip)
             if not response.complete:
                 connection.close()
                 connection = None
             gevent.sleep(PAUSE_S if response.status == 200 else BACKOFF_S)
 
-    def _connect(self, rng: Random) -> ClientConnection | None:
+    def _connect(self, entry: EntryProcess) -> ClientConnection | None:
         try:
-            return rng.choice(self._entries).connect()
+            return entry.connect()
         except NotConnected:
             return None  # the entry is down or frozen; the next attempt draws again
--- a/soak/_guarantees.py
+++ b/soak/_guarantees.py
@@ -14,12 +14,14 @@
 
 
 class SentRequest(NamedTuple):
-    """One request as sent by a caller."""
+    """One request as sent by a caller to an entry, named by its address."""
 
     request_id: str
     kind: str
     target: bytes
     body: bytes
+    entry: str = ""
+    sent_ms: int = 0
 
 
 class ReceivedResponse(NamedTuple):
@@ -32,6 +34,7 @@
     status: int
     body: bytes
     complete: bool
+    received_ms: int = 0
 
 
 def find_violations(
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -10,10 +10,12 @@
 
 from soak._callers import Callers
 from soak._guarantees import find_violations
-from soak._schedule import ENTRIES, Step, plan
+from soak._notices import History, find_ignored_notices
+from soak._schedule import ENTRIES, Step, plan, plan_notices
 from soak._site import SoakSite
 
 STEPS, DURATION_S = 32, 8.0
+NOTICE_INTERVAL = 4  # steps for each further one that gives a notice
 CALLERS = 12
 CHECK_INTERVAL_S = 1.0
 SETTLE_S = 5.0  # bound for applying what was published during a store outage
@@ -32,7 +34,8 @@
 
 def run(seed: int, *, steps: int = STEPS, entries: int = ENTRIES) -> Outcome:
     """Run one seed to its end and return the outcome."""
-    schedule = plan(seed, steps, DURATION_S)
+    notices = plan_notices(seed, steps // NOTICE_INTERVAL, DURATION_S)
+    schedule = tuple(sorted((*plan(seed, steps, DURATION_S), *notices)))
     with tempfile.TemporaryDirectory() as folder:
         site = SoakSite(pathlib.Path(folder), entries)
         try:
@@ -76,10 +79,12 @@
 
 
 def _check(callers: Callers, site: SoakSite) -> dict[str, None]:
-    runner_requests = site.runner_requests()
-    return dict.fromkeys(
-        find_violations(callers.sent, callers.received, site.runs(), runner_requests)
+    runs, runner_requests = site.runs(), site.runner_requests()
+    history = History(
+        callers.sent, callers.received, runs, site.arrivals(), site.disturbances()
     )
+    found = find_violations(callers.sent, callers.received, runs, runner_requests)
+    return dict.fromkeys((*found, *find_ignored_notices(history)))
 
 
 def _failed_final_requests(callers: Callers, site: SoakSite) -> list[str]:
@@ -89,7 +94,7 @@
     for number in range(FINAL_REQUESTS):
         entry = site.entries[number % len(site.entries)]
         connection = entry.connect()
-        response = callers.send_request(rng, connection)
+        response = callers.send_request(rng, connection, entry.ip)
         connection.close()
         if not (response.complete and response.status == 200):
             failures.append(
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -25,6 +25,9 @@
     FORGET = "forget"  # the store drops its history
     PUBLISH = "publish"  # a new version, with one route added and one removed
     ZONE = "zone"  # an availability zone is evacuated, and then restored
+    LEAVE = "leave"  # a runner says in its answers that it leaves, then is replaced
+    PAUSE = "pause"  # a runner rejects requests and asks for a pause
+    RESTORE = "restore"  # the store returns from a copy as old as the step is long
 
 
 class Identity(StrEnum):
@@ -61,7 +64,12 @@
 }
 # These are drawn more often, as each affects only one of six runners.
 _WEIGHTS = {Action.RUNNER: 5, Action.LINK: 3, Action.REPLACE: 2}
-_RUNNER_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
+# Drawn apart from the others, so that the schedules of earlier seeds stay the same.
+_NOTICES = (Action.LEAVE, Action.PAUSE, Action.RESTORE)
+_OTHERS = tuple(action for action in Action if action not in _NOTICES)
+_RUNNER_FAULTS = tuple(
+    fault for fault in Fault if fault not in (Fault.NONE, Fault.PAUSE)
+)
 _LINK_FAULTS = tuple(link for link in LinkState if link is not LinkState.HEALTHY)
 
 
@@ -76,10 +84,22 @@
     return tuple(sorted(planned[:steps]))
 
 
-def _step(rng: Random, at_s: float) -> Step:
-    (action,) = rng.choices(
-        tuple(Action), [_WEIGHTS.get(action, 1) for action in Action]
+def plan_notices(seed: int, steps: int, length_s: float) -> tuple[Step, ...]:
+    """Return steps in which runners leave or pause and the store is restored."""
+    rng = Random(f"{seed}-notices")
+    return tuple(
+        Step(
+            rng.uniform(0.2, length_s),
+            rng.choice(_NOTICES),
+            rng.randrange(RUNNERS),
+            rng.uniform(1.0, 3.0),
+        )
+        for _ in range(steps)
     )
+
+
+def _step(rng: Random, at_s: float) -> Step:
+    (action,) = rng.choices(_OTHERS, [_WEIGHTS.get(action, 1) for action in _OTHERS])
     duration_s = rng.uniform(0.2, _MAX_DURATION_S.get(action, 0.2))
     variant = ""
     target_count = ENTRIES
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -1,18 +1,22 @@
 """Manage the processes, fakes and links in which a soak injects faults."""
 
+import contextlib
 import pathlib
 import signal
 from collections import Counter
+from collections.abc import Iterator
 from itertools import count
 
 import gevent
 
 from bench.direct_site import make_configuration, make_route
 from bench.entry_process import EntryProcess, reserve_port
-from fakes.runners import Fault, Runner
+from fakes.runners import Arrival, Fault, Runner
 from fakes.store import StoreServer
+from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import HttpRequest
 from soak._guarantees import EVENTS_PER_STREAM
+from soak._notices import DRAIN_S, Disturbance
 from soak._proxy import LinkState, Proxy
 from soak._schedule import ENTRIES, RUNNERS, Action, Identity, Step
 
@@ -20,6 +24,11 @@
 EVENT_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 9.0  # the grace period of 8 s and a margin
 ZONE = "a"  # of the runners with even numbers
+PAUSE = b"1.5"  # seconds, as runners write it
+LOST_REVISIONS = 60
+RESTORE_S = 0.3  # for which the store is away
+REWRITE_S = 1.0  # until operator and runners have written again
+LAPSE_S = 2.6  # with the time above three heartbeats of 1.2 s
 
 
 class SoakSite:
@@ -29,7 +38,10 @@
         self.store = StoreServer()
         self._versions = count(1)
         self._birth_numbers = count(1)
+        self._births: dict[str, int] = {}
+        self._written: dict[str, dict] = {}
         self._stopped_runners: list[Runner] = []
+        self._disturbances: list[Disturbance] = []
         self.runners = [self._start_runner(number) for number in range(RUNNERS)]
         self._links = [Proxy(runner.address) for runner in self.runners]
         stores = [Proxy(self.store.address) for _ in range(entries)]
@@ -71,9 +83,7 @@
             case Action.RELOAD:
                 self._signal(self.entries[step.target], signal.SIGHUP)
             case Action.LINK:
-                self._links[step.target].set_state(LinkState(step.variant))
-                gevent.sleep(step.duration_s)
-                self._links[step.target].set_state(LinkState.HEALTHY)
+                self._disturb_link(step)
             case Action.RUNNER:
                 self.runners[step.target].fault = Fault(step.variant)
                 gevent.sleep(step.duration_s)
@@ -82,8 +92,8 @@
                 self._replace(step.target, Identity(step.variant))
             case Action.DRAIN:
                 self._register(step.target, state="draining")
-                gevent.sleep(step.duration_s)
-                self._register(step.target)
+                gevent.sleep(max(step.duration_s, DRAIN_S))
+                self._replace(step.target, Identity.NEW)
             case Action.STORE:
                 self.store.down = True
                 gevent.sleep(step.duration_s)
@@ -93,9 +103,22 @@
             case Action.PUBLISH:
                 self._publish()
             case Action.ZONE:
-                self.store.history.put(f"op/evacuate/{ZONE}", {})
+                self._write(f"op/evacuate/{ZONE}", {})
                 gevent.sleep(step.duration_s)
-                self.store.history.remove(f"op/evacuate/{ZONE}")
+                self._remove(f"op/evacuate/{ZONE}")
+            case Action.LEAVE:
+                leaving = self.runners[step.target]
+                leaving.leaving = True
+                gevent.sleep(DRAIN_S + step.duration_s)
+                if self.runners[step.target] is leaving:
+                    self._replace(step.target, Identity.NEW)
+            case Action.PAUSE:
+                runner = self.runners[step.target]
+                runner.fault = Fault.PAUSE
+                gevent.sleep(step.duration_s)
+                runner.fault = Fault.NONE
+            case Action.RESTORE:
+                self._restore(step.duration_s)
 
     def repair(self) -> None:
         """Repair every remaining fault, and start every entry that has ended."""
@@ -134,14 +157,70 @@
             runner.close()
         self.store.close()
 
+    def arrivals(self) -> list[tuple[str, list[Arrival]]]:
+        """Return every request that arrived, with each runner's name."""
+        return [
+            (runner.name, list(runner.arrivals))
+            for runner in (*self._stopped_runners, *self.runners)
+        ]
+
+    def disturbances(self) -> list[Disturbance]:
+        """Return the times at which entries or links to runners were disturbed."""
+        return list(self._disturbances)
+
+    def _disturb_link(self, step: Step) -> None:
+        link = self._links[step.target]
+        runner = self.runners[step.target] if step.target < RUNNERS else None
+        with self._disturbing(runner.name if runner else ""):
+            link.set_state(LinkState(step.variant))
+            gevent.sleep(step.duration_s)
+            link.set_state(LinkState.HEALTHY)
+
+    @contextlib.contextmanager
+    def _disturbing(self, name: str) -> Iterator[None]:
+        """Record a disturbance; until it ends, its end is open."""
+        started_ms = boottime_ms()
+        self._disturbances.append(Disturbance(name, started_ms))
+        yield
+        self._disturbances.append(Disturbance(name, started_ms, boottime_ms()))
+        self._disturbances.remove(Disturbance(name, started_ms))
+
     def _start_runner(self, number: int, name: str = "") -> Runner:
         events = EVENTS_PER_STREAM if number >= BOARD_RUNNERS else 0
         pause_s = EVENT_INTERVAL_S if events else 0.0
-        return Runner(
-            name or f"r{number}-{next(self._birth_numbers)}",
-            events=events,
-            pause_s=pause_s,
-        )
+        born = next(self._birth_numbers)
+        runner = Runner(name or f"r{number}-{born}", events=events, pause_s=pause_s)
+        runner.pause = PAUSE
+        self._births[runner.name] = born
+        return runner
+
+    def _write(self, key: str, value: dict) -> None:
+        self._written[key] = value
+        self.store.history.put(key, value)
+
+    def _remove(self, key: str) -> None:
+        self._written.pop(key, None)
+        self.store.history.remove(key)
+
+    def _restore(self, age_s: float) -> None:
+        """Restore the store from a copy, then let everyone write again."""
+        copy = self.store.history.copy()
+        # The lost revisions outnumber those that are written again, so that later
+        # changes come under revisions that the entries have seen before.
+        for number in range(LOST_REVISIONS):
+            self.store.history.put("op/other", {"lost": number})
+        gevent.sleep(age_s)
+        self.store.down = True
+        gevent.sleep(RESTORE_S)
+        self.store.restore(copy)
+        self.store.down = False
+        gevent.sleep(REWRITE_S)
+        for key, value in tuple(self._written.items()):
+            self.store.history.put(key, value)
+        gevent.sleep(LAPSE_S)
+        for key in self.store.history.listed():
+            if key not in self._written:
+                self.store.history.remove(key)
 
     def _register(self, number: int, **fields: object) -> None:
         runner = self.runners[number]
@@ -149,10 +228,10 @@
             "model" if number >= BOARD_RUNNERS else "board",
             zone=ZONE if number % 2 == 0 else "b",
             address=self._links[number].address,
-            born=next(self._birth_numbers),
+            born=self._births[runner.name],
             **fields,
         )
-        self.store.history.put(f"servers/{runner.name}", record)
+        self._write(f"servers/{runner.name}", record)
 
     def _replace(self, number: int, identity: Identity) -> None:
         old = self.runners[number]
@@ -163,7 +242,7 @@
         self.runners[number] = self._start_runner(number, old.name if keeps_id else "")
         self._links[number] = Proxy(self.runners[number].address)
         if not keeps_id:
-            self.store.history.remove(f"servers/{old.name}")
+            self._remove(f"servers/{old.name}")
         self._register(number)
 
     def _publish(self) -> None:
@@ -175,24 +254,27 @@
             make_route("verses", "model", "streaming", resumable=True, gapTargetMs=120),
             make_route(f"extra{version}", "board", "idempotent"),
         )
-        self.store.history.put("op/config", make_configuration(version, *routes))
+        self._write("op/config", make_configuration(version, *routes))
 
     def _freeze(self, entry: EntryProcess, duration_s: float) -> None:
-        self._signal(entry, signal.SIGSTOP)
-        gevent.sleep(duration_s)
-        self._signal(entry, signal.SIGCONT)
+        with self._disturbing(entry.ip):
+            self._signal(entry, signal.SIGSTOP)
+            gevent.sleep(duration_s)
+            self._signal(entry, signal.SIGCONT)
 
     def _kill(self, entry: EntryProcess, duration_s: float) -> None:
-        entry.kill()
-        gevent.sleep(duration_s)
-        self._start(entry)
+        with self._disturbing(entry.ip):
+            entry.kill()
+            gevent.sleep(duration_s)
+            self._start(entry)
 
     def _stop(self, entry: EntryProcess) -> None:
-        self._signal(entry, signal.SIGTERM)
-        self._signal(entry, signal.SIGCONT)
-        entry.wait_exit(STOP_TIMEOUT_S)
-        entry.kill()
-        self._start(entry)
+        with self._disturbing(entry.ip):
+            self._signal(entry, signal.SIGTERM)
+            self._signal(entry, signal.SIGCONT)
+            entry.wait_exit(STOP_TIMEOUT_S)
+            entry.kill()
+            self._start(entry)
 
     def _start(self, entry: EntryProcess) -> None:
         if not entry.is_running:  # another step may have started it already
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter, defaultdict
+from itertools import count
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -28,12 +29,16 @@
     Send,
     StoreLost,
     StoreReached,
+    StoreRestored,
     Tick,
+    UpstreamLeaving,
+    UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
     load_report,
 )
+from nutmegslip_decisions.direct._restored import REWRITE_MS
 from tests.direct_world import World, configuration, upstream
 
 ENTRIES = 2
@@ -79,6 +84,11 @@
         self.retries = Counter()
         self.listed = {item.id: item for item in UPSTREAMS}
         self.out = frozenset()
+        self.births = count(1)
+        self.current = dict(self.listed)
+        self.leaving = set()
+        self.paused = defaultdict(int)
+        self.withheld = {}
 
     def _take(self, number, event):
         for effect in self.worlds[number].take(event):
@@ -92,6 +102,12 @@
                     f"{request_key} sent after its answer"
                 )
                 assert not to.leaving
+                incarnation = (number, to.id, to.born_ms)
+                assert incarnation not in self.leaving, f"{to.id} had said it leaves"
+                assert self.paused[incarnation] <= self.now_ms, f"{to.id} is paused"
+                assert self.withheld.get(incarnation, 0) <= self.now_ms, (
+                    f"{to.id} was removed before the store was restored"
+                )
                 assert to.zone not in self.worlds[number].state.zones_out
                 assert to.rank is None or to.rank.is_open
                 assert request.deadline_ms > self.now_ms
@@ -177,17 +193,72 @@
 
     @rule(name=st.sampled_from(sorted(i.id for i in UPSTREAMS)), kind=st.integers(0, 3))
     def change(self, name, kind):
-        old = next(item for item in UPSTREAMS if item.id == name)
+        old = self.current[name]
         new = (
             old,
             old._replace(leaving=True),
-            old._replace(born_ms=old.born_ms + 1),
+            old._replace(born_ms=next(self.births)),
             old._replace(rank=old.rank and old.rank._replace(is_open=False)),
         )[kind]
+        if kind == 2:
+            self.current[name] = new
         self.listed[name] = new
         for number in range(ENTRIES):
+            incarnation = (number, name, new.born_ms)
+            self.withheld.pop(incarnation, None)
+            if new.leaving:
+                self.leaving.add(incarnation)
             self._take(number, UpstreamPublished(self.now_ms, new))
 
+    @rule(
+        number=st.integers(0, ENTRIES - 1),
+        name=st.sampled_from(sorted(i.id for i in UPSTREAMS)),
+        pause_ms=st.sampled_from((None, None, 0, 200, 3_000)),
+    )
+    def notice(self, number, name, pause_ms):
+        """An answer says that its upstream leaves, or wants a pause."""
+        known = self.worlds[number].state.upstreams.get(name)
+        if known is None:
+            return
+        incarnation = (number, name, known.born_ms)
+        if pause_ms is None:
+            self.leaving.add(incarnation)
+            self._take(number, UpstreamLeaving(self.now_ms, known))
+        else:
+            until_ms = max(self.paused[incarnation], self.now_ms + pause_ms)
+            self.paused[incarnation] = until_ms
+            self._take(number, UpstreamPaused(self.now_ms, known, pause_ms))
+
+    @rule(
+        data=st.data(),
+        zones=st.sampled_from((frozenset(), frozenset({"a"}))),
+    )
+    def restore_the_store(self, data, zones):
+        """List any mix of current, removed and replaced incarnations again."""
+        older = st.sampled_from(
+            [replace for name in self.current for replace in self._incarnations(name)]
+        )
+        copy = {item.id: item for item in data.draw(st.lists(older, max_size=5))}
+        for number in range(ENTRIES):
+            state = self.worlds[number].state
+            for item in copy.values():
+                departed = state.departures.get(item.id)
+                if item.id in state.upstreams or departed is None:
+                    continue
+                if departed.born_ms == item.born_ms:
+                    until_ms = self.now_ms + REWRITE_MS
+                    self.withheld[(number, item.id, item.born_ms)] = until_ms
+            self._take(number, StoreRestored(self.now_ms, 2))
+            self._take(number, ListingRead(self.now_ms, tuple(copy.values())))
+            out = self.worlds[number].state.zones_out
+            self._take(number, ZonesOut(self.now_ms, zones))
+            assert self.worlds[number].state.zones_out >= out
+        self.listed = copy
+
+    def _incarnations(self, name):
+        first = next(item for item in UPSTREAMS if item.id == name)
+        return first, self.current[name]
+
     @rule(name=st.sampled_from(sorted(i.id for i in UPSTREAMS)))
     def remove(self, name):
         self.listed.pop(name, None)
--- a/tests/test_direct_log_lines.py
+++ b/tests/test_direct_log_lines.py
@@ -124,7 +124,9 @@
         runner = Runner("m1")
         host, _, port = runner.address.rpartition(":")
         rank = upstream("m1", host=host, port=int(port))
-        client = HttpRankClient(Pool(boottime_ms), boottime_ms, log)
+        client = HttpRankClient(
+            Pool(boottime_ms), boottime_ms, log, lambda _rank, _fields: None
+        )
         for fault, reason in answers.items():
             with self.subTest(fault=fault):
                 runner.fault = fault
@@ -135,7 +137,9 @@
                 )
                 self.assertIn(reason, fields["reason"])
         runner.close()
-        unreachable_client = HttpRankClient(Pool(boottime_ms), boottime_ms, log)
+        unreachable_client = HttpRankClient(
+            Pool(boottime_ms), boottime_ms, log, lambda _rank, _fields: None
+        )
         self.assertIsNone(unreachable_client.counts(rank))
         self.assertIn("refused", lines.pop()[1]["reason"])
 
--- a/tests/test_direct_processes.py
+++ b/tests/test_direct_processes.py
@@ -282,6 +282,122 @@
                 gevent.sleep(0.05)
 
 
+class RestoredStoreTests(DirectTestCase):
+    """Reproduce a store that returns from a copy and gives out revisions again."""
+
+    def _restore(self, copy, *, changes):
+        """Restore the store, then write as many revisions as were lost."""
+        self.site.store.down = True
+        self.site.store.restore(copy)
+        for change in changes:
+            change()
+        self.site.store.down = False
+
+    def _wait_served(self, target, status=200):
+        with gevent.Timeout(PROPAGATION_BOUND_S):
+            while self.site.send(target).status != status:
+                gevent.sleep(0.05)
+
+    def test_changes_under_revisions_that_were_given_out_before_are_read(self):
+        history = self.site.store.history
+        copy = history.copy()
+        for number in range(5):
+            history.put("op/other", {"lost": number})
+        gevent.sleep(SETTLE_S)
+        new = make_configuration(4, make_route("new", "board", "idempotent"))
+        fillers = [lambda: history.put("op/other", {"again": 1})] * 6
+        self._restore(copy, changes=[lambda: self.site.publish(new), *fillers])
+        self._wait_served("/new/1")
+
+    def test_no_request_is_refused_while_the_copy_lacks_every_upstream(self):
+        history = self.site.store.history
+        names = [f"servers/{name}" for name in self.site.runners]
+        kept = {name: self.site.runners[name[8:]] for name in names}
+        for name in names:
+            history.remove(name)
+        copy = history.copy()
+        for name, runner in kept.items():
+            service = "model" if runner.events else "board"
+            self.site.register_runner(name[8:], service)
+        gevent.sleep(SETTLE_S)
+        self._restore(copy, changes=[])
+        statuses = set()
+        for _ in range(15):
+            statuses.add(self.site.send("/lookups/1").status)
+            gevent.sleep(0.05)
+        for name, runner in kept.items():
+            service = "model" if runner.events else "board"
+            self.site.register_runner(name[8:], service)
+        for _ in range(60):
+            statuses.add(self.site.send("/lookups/1").status)
+            gevent.sleep(0.05)
+        self.assertEqual(statuses, {200})
+
+    def test_a_removed_upstream_that_the_copy_lists_gets_nothing(self):
+        history = self.site.store.history
+        copy = history.copy()
+        history.remove("servers/b1")
+        gevent.sleep(SETTLE_S)
+        self._restore(copy, changes=[])
+        gevent.sleep(SETTLE_S)
+        self.board[0].arrivals.clear()
+        for _ in range(10):
+            self.assertEqual(self.site.send("/lookups/1").status, 200)
+        self.assertEqual(self.board[0].arrivals, [])
+        self.assertIn('event="store-restored"', self.site.metrics())
+
+
+class NoticeTests(DirectTestCase):
+    """Test what runners say in their answers, over the wire."""
+
+    def _count_after(self, runner, requests=8):
+        runner.arrivals.clear()
+        replies = [self.site.send("/lookups/1") for _ in range(requests)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+        return len(runner.arrivals)
+
+    def test_a_leaving_runner_gets_nothing_after_its_first_answer(self):
+        self.board[0].leaving = True
+        with gevent.Timeout(5):
+            while not self.board[0].arrivals:
+                self.site.send("/lookups/1")
+        self.assertEqual(self._count_after(self.board[0]), 0)
+        self.site.register_runner("b1", "board", sequence=2)
+        gevent.sleep(SETTLE_S)
+        self.assertEqual(self._count_after(self.board[0]), 0)
+        self.board[0].leaving = False
+        self.site.register_runner("b1", "board", born=2)
+        gevent.sleep(SETTLE_S)
+        self.assertGreater(self._count_after(self.board[0], 20), 0)
+
+    def test_a_stream_goes_on_whose_runner_leaves(self):
+        for runner in self.model:
+            runner.leaving = True
+        self.assertTrue(self.site.send("/verses/1", method="POST").complete)
+
+    def test_a_runner_gets_nothing_in_its_pause(self):
+        self.board[0].fault, self.board[0].pause = Fault.PAUSE, b"0.8"
+        with gevent.Timeout(5):
+            while not self.board[0].arrivals:
+                self.assertEqual(self.site.send("/lookups/1").status, 200)
+        self.board[0].fault = Fault.NONE
+        self.assertEqual(self._count_after(self.board[0]), 0)
+        gevent.sleep(0.8)
+        self.assertGreater(self._count_after(self.board[0], 20), 0)
+
+    def test_a_caller_is_told_when_the_first_pause_ends(self):
+        for runner, pause in zip(self.board, (b"4", b"2.5"), strict=False):
+            runner.fault, runner.pause = Fault.PAUSE, pause
+        while (reply := self.site.send("/lookups/1")).status != 503:
+            pass
+        reply = self.site.send("/pushes/1", method="POST")
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(float(reply.head.header(b"retry-after")), 2.0)
+        arrived = sum(len(runner.arrivals) for runner in self.board)
+        self.site.send("/lookups/1")
+        self.assertEqual(sum(len(runner.arrivals) for runner in self.board), arrived)
+
+
 class PortTests(unittest.TestCase):
     """Guard against another test run that gets a port before the entry listens."""
 
--- /dev/null
+++ b/tests/test_direct_store.py
@@ -0,0 +1,202 @@
+"""Test what an entry does when the store comes back from an older copy."""
+
+import unittest
+
+from nutmegslip_decisions.direct import (
+    ConfigurationPublished,
+    ListingRead,
+    Refuse,
+    RequestEnded,
+    Send,
+    StorePosition,
+    StoreReached,
+    StoreRestored,
+    Tick,
+    UpstreamPublished,
+    UpstreamRemoved,
+    Verdict,
+    ZonesOut,
+    judge,
+)
+from nutmegslip_decisions.direct._restored import REWRITE_MS
+from tests.direct_world import World, configuration, upstream
+
+AT = StorePosition(3, 100)
+
+
+class PositionTests(unittest.TestCase):
+    """Guard against an answer of an older copy or an older era being used."""
+
+    def test_the_verdict_on_each_answer(self):
+        cases = (
+            ("a later answer of the era", AT, 3, 101, Verdict.CURRENT),
+            ("the same revision", AT, 3, 100, Verdict.CURRENT),
+            ("an older answer of the era", AT, 3, 99, Verdict.STALE),
+            ("a new era with a lower revision", AT, 4, 60, Verdict.RESTORED),
+            ("a new era with a higher revision", AT, 4, 160, Verdict.RESTORED),
+            ("an era that rose twice", AT, 5, 60, Verdict.RESTORED),
+            ("a late answer of an older era", AT, 2, 180, Verdict.STALE),
+            ("an error of a new era", AT, 4, None, Verdict.RESTORED),
+            ("an error of this era", AT, 3, None, Verdict.CURRENT),
+            ("an answer without era", AT, None, 101, Verdict.CURRENT),
+            ("an older answer without era", AT, None, 99, Verdict.STALE),
+            ("the first answer", StorePosition(), 7, 5, Verdict.CURRENT),
+            ("a store without eras", StorePosition(0, 9), None, 10, Verdict.CURRENT),
+        )
+        for name, position, era, revision, verdict in cases:
+            with self.subTest(name):
+                self.assertIs(judge(position, era, revision), verdict)
+
+    def test_the_order_rises_when_the_revisions_fall(self):
+        """Fencing numbers follow the order; ranks refuse lower ones."""
+        self.assertGreater(StorePosition(4, 10).order, StorePosition(3, 400_000).order)
+        self.assertGreater(StorePosition(3, 11).order, StorePosition(3, 10).order)
+
+
+class RestoredStoreTests(unittest.TestCase):
+    """Guard against beliefs that fall back to the state of the copy."""
+
+    def setUp(self):
+        self.world = World(upstream("u1"), upstream("u2"))
+
+    def _restore(self, *listing):
+        self.world.take(StoreRestored(self.world.now_ms, 2))
+        self.world.take(ListingRead(self.world.now_ms, listing))
+
+    def _pass(self, ms):
+        self.world.now_ms += ms
+        self.world.take(Tick(self.world.now_ms))
+
+    def _send(self):
+        (effect,) = self.world.arrive()
+        if isinstance(effect, Send):
+            ticket = effect.request.ticket
+            self.world.take(RequestEnded(self.world.now_ms, ticket, answered=True))
+            return effect.upstream.id
+        return effect.kind
+
+    def test_upstreams_that_the_copy_lacks_stay_until_they_are_written_again(self):
+        self._restore()
+        self.assertIsInstance(self.world.arrive()[0], Send)
+        self._pass(1_900)
+        self.world.take(UpstreamPublished(self.world.now_ms, upstream("u1")))
+        self._pass(200)
+        self.assertEqual({self._send() for _ in range(6)}, {"u1"})
+
+    def test_beliefs_stay_in_force_until_the_new_list_is_read(self):
+        self.world.take(StoreRestored(self.world.now_ms, 2))
+        self._pass(10_000)
+        self.assertIsInstance(self.world.arrive()[0], Send)
+
+    def test_an_upstream_that_was_leaving_stays_so(self):
+        leaving = upstream("u1", leaving=True)
+        self.world.take(UpstreamPublished(self.world.now_ms, leaving))
+        self._restore(upstream("u1"), upstream("u2"))
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+        self._pass(60_000)
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+
+    def test_an_upstream_that_was_leaving_and_gone_stays_so(self):
+        leaving = upstream("u1", leaving=True)
+        self.world.take(UpstreamPublished(self.world.now_ms, leaving))
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._restore(upstream("u1"), upstream("u2"))
+        self._pass(60_000)
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+
+    def test_a_removed_upstream_that_the_copy_revives_gets_nothing(self):
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._restore(upstream("u1"), upstream("u2"))
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+        self._pass(REWRITE_MS - 1)
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+
+    def test_a_revived_upstream_is_used_once_it_has_written_again(self):
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._restore(upstream("u1"), upstream("u2", leaving=True))
+        self.world.take(UpstreamPublished(self.world.now_ms, upstream("u1")))
+        self.assertEqual(self._send(), "u1")
+
+    def test_a_revived_upstream_that_is_still_listed_later_is_used(self):
+        """Its registration had lapsed; renewals that change nothing show no event."""
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._restore(upstream("u1"), upstream("u2", leaving=True))
+        self._pass(REWRITE_MS)
+        self.assertEqual(self._send(), "u1")
+
+    def test_a_revived_upstream_that_lapses_is_gone(self):
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._restore(upstream("u1"), upstream("u2"))
+        self._pass(3_000)
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._pass(60_000)
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+
+    def test_an_incarnation_that_the_copy_shows_before_its_replacement(self):
+        newer = upstream("u1", born_ms=5, port=9_001)
+        self.world.take(UpstreamPublished(self.world.now_ms, newer))
+        self._restore(upstream("u1", born_ms=4), upstream("u2", leaving=True))
+        (effect,) = self.world.arrive()
+        self.assertEqual(effect.upstream, newer)
+
+    def test_an_incarnation_that_the_copy_shows_after_its_replacement_is_gone(self):
+        leaving = upstream("u1", born_ms=4, leaving=True)
+        self.world.take(UpstreamPublished(self.world.now_ms, leaving))
+        newer = upstream("u1", born_ms=5)
+        self.world.take(UpstreamPublished(self.world.now_ms, newer))
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._restore(upstream("u1", born_ms=4), upstream("u2"))
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+
+    def test_a_lapsed_upstream_that_is_listed_again_in_one_era_is_used(self):
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        listing = (upstream("u1"), upstream("u2", leaving=True))
+        self.world.take(ListingRead(self.world.now_ms, listing))
+        self.assertEqual(self._send(), "u1")
+
+    def test_a_zone_that_was_out_stays_out_until_it_was_written_again(self):
+        self.world.take(ZonesOut(self.world.now_ms, frozenset({"a"})))
+        self._restore(upstream("u1"), upstream("u2", zone="b"))
+        self.world.take(ZonesOut(self.world.now_ms, frozenset()))
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+        self.world.take(ZonesOut(self.world.now_ms, frozenset({"a"})))
+        self._pass(REWRITE_MS)
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+
+    def test_a_zone_that_is_not_written_again_returns(self):
+        self.world.take(ZonesOut(self.world.now_ms, frozenset({"a"})))
+        self._restore(upstream("u1"), upstream("u2"))
+        self.world.take(ZonesOut(self.world.now_ms, frozenset()))
+        self.assertIsInstance(self.world.arrive()[0], Refuse)
+        self._pass(REWRITE_MS)
+        self.assertIsInstance(self.world.arrive()[0], Send)
+
+    def test_the_configuration_does_not_go_back(self):
+        for version in (7, 6):
+            event = ConfigurationPublished(self.world.now_ms, configuration(version))
+            self.world.take(event)
+            self.world.take(StoreRestored(self.world.now_ms, 2))
+        self.assertEqual(self.world.state.configuration.version, 7)
+
+    def test_two_restores_in_one_outage(self):
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self.world.take(StoreRestored(self.world.now_ms, 2))
+        self._pass(1_000)
+        self.world.take(StoreRestored(self.world.now_ms, 3))
+        self.world.take(StoreReached(self.world.now_ms))
+        self.world.take(
+            ListingRead(self.world.now_ms, (upstream("u1"), upstream("u2")))
+        )
+        self._pass(REWRITE_MS - 1)
+        self.assertEqual({self._send() for _ in range(6)}, {"u2"})
+
+    def test_removed_incarnations_are_forgotten_in_the_end(self):
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._pass(599_999)
+        self.assertIn("u1", self.world.state.departures)
+        self._pass(1)
+        self.assertNotIn("u1", self.world.state.departures)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from fakes.runners import Arrival
 from soak import plan, run
 from soak._guarantees import (
     ReceivedResponse,
@@ -13,6 +14,7 @@
     expected_body,
     find_violations,
 )
+from soak._notices import Disturbance, History, find_ignored_notices
 
 # Seeds that once failed, all three for one reason: the check reported a runner's own
 # 500 response to a stream, which the entry passed on completely, as a broken stream.
@@ -89,5 +91,61 @@
                 self.assertIn(text, " ".join(found))
 
 
+class NoticeTests(unittest.TestCase):
+    """Test that requests to leaving and paused runners are found."""
+
+    def _found(self, arrivals, disturbances=()):
+        """Check one runner; request qN was sent N ms after the start by entry e."""
+        sent = {
+            arrival.request_id: SentRequest(
+                arrival.request_id,
+                "lookup",
+                b"/",
+                b"",
+                "e",
+                int(arrival.request_id[1:]),
+            )
+            for arrival in arrivals
+        }
+        received = [
+            ReceivedResponse(one, 200, b"", True, one.sent_ms + 10)
+            for one in sent.values()
+        ]
+        runs = Counter(sent.keys())
+        history = History(sent, received, runs, [("r", arrivals)], list(disturbances))
+        return list(find_ignored_notices(history))
+
+    def test_requests_to_a_leaving_runner(self):
+        told = Arrival(5, "q0", own=True, leaving=True)
+        cases = (
+            ("within the drain time", Arrival(2_020, "q2010", True), (), 0),
+            ("after it", Arrival(2_020, "q2011", True), (), 1),
+            ("meant for another runner", Arrival(2_020, "q2011", False), (), 0),
+            ("entry disturbed", Arrival(2_020, "q2011", True), ("e", 900, 950), 0),
+            ("another disturbed", Arrival(2_020, "q2011", True), ("f", 900, 950), 1),
+            ("disturbed later", Arrival(2_020, "q2011", True), ("e", 3_000, 3_100), 1),
+        )
+        for name, late, disturbance, count in cases:
+            with self.subTest(name):
+                disturbances = [Disturbance(*disturbance)] if disturbance else []
+                self.assertEqual(len(self._found([told, late], disturbances)), count)
+
+    def test_requests_in_a_pause(self):
+        asked = Arrival(0, "q0", own=True, pause_ms=1_500)
+        cases = (
+            ("two after the grace time", (600, 700), (), 0),
+            ("three after it", (600, 700, 800), (), 1),
+            ("within the grace time", (300, 400, 450), (), 0),
+            ("after the pause", (1_500, 1_600, 1_700), (), 0),
+            ("the runner's link disturbed", (600, 700, 800), ("r", 100, 200), 0),
+            ("another link disturbed", (600, 700, 800), ("s", 100, 200), 1),
+        )
+        for name, times, disturbance, count in cases:
+            with self.subTest(name):
+                disturbances = [Disturbance(*disturbance)] if disturbance else []
+                later = [Arrival(at_ms, f"q{at_ms}", True) for at_ms in times]
+                self.assertEqual(len(self._found([asked, *later], disturbances)), count)
+
+
 if __name__ == "__main__":
     unittest.main()
