Let requests wait for the first configuration

Callers' connections reach a started entry 20 to 90 ms before it has read the store, and a caller retries once, so such a refusal is mostly its last.

A request now waits up to 250 ms for the first list and is then admitted with its time of arrival; a store that is known not to answer refuses it at once. Ruled out: listening later, as refused connections use up the retry as well.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -43,7 +43,6 @@
     without_upstream,
 )
 from nutmegslip_decisions.direct._requests import (
-    admit,
     finish,
     handle_failure,
     record_start,
@@ -54,6 +53,12 @@
     without_copy,
     without_withheld,
 )
+from nutmegslip_decisions.direct._starting import (
+    admit_all,
+    admit_when_started,
+    refuse_unadmitted,
+    without_unadmitted,
+)
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.model import Millis
 
@@ -62,7 +67,7 @@
     """Return the state after an event, and the effects to perform."""
     match event:
         case RequestArrived(now_ms, request):
-            return admit(state, request, now_ms)
+            return admit_when_started(state, request, now_ms)
         case AttemptFailed():
             return handle_failure(state, event)
         case ResponseStarted(now_ms, ticket):
@@ -71,6 +76,8 @@
             paced = with_pace(state, service, group, gap_ms)
             return dispatch(paced, service, now_ms)
         case RequestEnded(now_ms, ticket, answered):
+            if ticket in state.unadmitted:
+                return without_unadmitted(state, ticket), ()
             return finish(state, ticket, answered, now_ms)
         case Tick(now_ms):
             return _tick(state, now_ms)
@@ -86,9 +93,11 @@
         case ZonesOut(now_ms, zones):
             return dispatch_all(with_zones_read(state, zones, now_ms), now_ms)
         case ListingRead(now_ms, upstreams):
-            return dispatch_all(with_listing(state, upstreams, now_ms), now_ms)
-        case StoreLost():
-            return state._replace(store_lost=True), ()
+            state, sent = admit_all(with_listing(state, upstreams, now_ms), now_ms)
+            state, more = dispatch_all(state, now_ms)
+            return state, (*sent, *more)
+        case StoreLost(now_ms):
+            return refuse_unadmitted(state._replace(store_lost=True), now_ms)
         case StoreReached(now_ms):
             until_ms = now_ms + state.options.rejoin_ms
             return state._replace(store_lost=False, lapse_until_ms=until_ms), ()
@@ -112,9 +121,10 @@
 def _tick(state: State, now_ms: Millis) -> Step:
     state = without_stale(without_lapsed(state, now_ms), now_ms)
     state = without_forgotten(without_copy(state, now_ms), now_ms)
+    state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
-    return state, (*refused, *sent)
+    return state, (*unadmitted, *refused, *sent)
 
 
 def load_report(state: State) -> dict[str, int]:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -29,23 +29,22 @@
 from nutmegslip_decisions.model import Millis
 
 SMOOTHING = 0.1  # weight of a new measurement in a moving average
-NO_CONFIGURATION_RETRY_MS = 500
 
 
-def admit(state: State, caller_request: CallerRequest, now_ms: Millis) -> Step:
-    """Admit a request and send or queue it, or refuse it."""
-    if state.configuration is None or state.table is None:
-        kind = RefusalKind.NO_CONFIGURATION
-        return state, (
-            Refuse(caller_request.ticket, kind, False, NO_CONFIGURATION_RETRY_MS),
-        )
+def admit(
+    state: State, caller_request: CallerRequest, arrived_ms: Millis, now_ms: Millis
+) -> Step:
+    """Admit a request and send or queue it, or refuse it.
+
+    There must be a configuration. ``arrived_ms`` is when the request was read.
+    """
     route = state.table.match(caller_request.host, caller_request.path)
     if route is None:
         return state, (Refuse(caller_request.ticket, RefusalKind.NO_ROUTE, False),)
     account = _account(state, route, caller_request.key)
     if account is None:
         return state, (Refuse(caller_request.ticket, RefusalKind.UNKNOWN_KEY, False),)
-    request = _admitted_request(caller_request, route, account, now_ms)
+    request = _admitted_request(caller_request, route, account, arrived_ms)
     state = count_arrival(state, request.service, now_ms)
     state = state._replace(requests=state.requests.set(request.ticket, request))
     return send_or_queue(state, request, now_ms)
@@ -60,9 +59,9 @@
 
 
 def _admitted_request(
-    caller_request: CallerRequest, route: Route, account: Account, now_ms: Millis
+    caller_request: CallerRequest, route: Route, account: Account, arrived_ms: Millis
 ) -> Request:
-    deadline_ms = now_ms + route.timeout_ms
+    deadline_ms = arrived_ms + route.timeout_ms
     if caller_request.caller_deadline_ms is not None:
         deadline_ms = min(deadline_ms, caller_request.caller_deadline_ms)
     return Request(
@@ -72,7 +71,7 @@
         service=pick_service(route, caller_request.request_id),
         account=account.name,
         priority=priority_of(route, account.priority),
-        arrived_ms=now_ms,
+        arrived_ms=arrived_ms,
         deadline_ms=deadline_ms,
     )
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -6,7 +6,12 @@
 
 from nutmegslip_decisions.direct._options import Options
 from nutmegslip_decisions.direct._routes import RouteTable
-from nutmegslip_decisions.direct._types import Configuration, Request, Upstream
+from nutmegslip_decisions.direct._types import (
+    CallerRequest,
+    Configuration,
+    Request,
+    Upstream,
+)
 from nutmegslip_decisions.direct._windows import Window
 from nutmegslip_decisions.model import Millis
 
@@ -77,6 +82,14 @@
     forget_ms: Millis | None
 
 
+class Unadmitted(NamedTuple):
+    """A request that waits for the first configuration until ``until_ms``."""
+
+    request: CallerRequest
+    arrived_ms: Millis
+    until_ms: Millis
+
+
 class State(NamedTuple):
     """The complete state of the reducer.
 
@@ -85,8 +98,9 @@
     use. Until ``copy_until_ms`` the list may be that of a copy from which the store
     was restored; ``withheld`` maps the upstreams that it revived to the time until
     which they get no requests. ``zones_read`` are the zones out of service by the
-    list, ``zones_out`` those in force. ``waiting`` holds the queues of tickets, by
-    service.
+    list, ``zones_out`` those in force. ``unadmitted`` holds the requests that wait
+    for the first configuration, by ticket; ``waiting`` holds the queues of tickets,
+    by service.
     """
 
     options: Options
@@ -108,6 +122,7 @@
     suspicions: Map[str, GroupSuspicion] = Map()
     loads: Map[str, ServiceLoad] = Map()
     requests: Map[int, Request] = Map()
+    unadmitted: Map[int, Unadmitted] = Map()
     waiting: Map[str, tuple[int, ...]] = Map()
 
     def entry_count(self) -> int:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -229,6 +229,8 @@
     if isinstance(event, RequestArrived) and event.request.ticket == ticket:
         return event.request.request_id
     request = before.requests.get(ticket)
+    if request is None and ticket in before.unadmitted:
+        request = before.unadmitted[ticket].request
     return request.request_id if request else ""
 
 
