--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -33,6 +33,7 @@
     ZonesOut,
 )
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._pace import open_share
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
@@ -111,5 +112,6 @@
     "is_ready",
     "judge",
     "load_report",
+    "open_share",
     "reduce",
 ]
