Hand the expert maps over when their leader stops

The leader gets SIGTERM at 3.0 s, leads on until it exits at 8.4 s, perhaps within a change, and reports again from 9.2 s, before the next one has missed it; but it leads only after 2.5 s of discovery. A new leader then plans from all counts since its ranks started.

A report now says where its sender may not lead: while it starts, and while it stops with no change in progress. A stopping leader begins no change and stays until its own has ended. A new leader reads the counts twice, 0.5 s apart, and plans from the difference.

Ruled out: the oldest entry as leader; it changes as often while all restart, and entries that start together have no order.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -32,10 +32,10 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._leadership import is_candidate, is_first_candidate
 from nutmegslip_decisions.direct._options import Options
 from nutmegslip_decisions.direct._pace import open_share
 from nutmegslip_decisions.direct._pauses import is_paused
-from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._store_position import (
@@ -107,7 +107,8 @@
     "UpstreamRemoved",
     "Verdict",
     "ZonesOut",
-    "fresh_peers",
+    "is_candidate",
+    "is_first_candidate",
     "is_paused",
     "is_ready",
     "judge",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -116,11 +116,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReported:
-    """Another entry reported its requests in flight, by upstream."""
+    """Another entry reported its requests in flight, by upstream.
+
+    ``is_candidate`` is whether it may change expert maps.
+    """
 
     now_ms: Millis
     peer: str
     in_flight: Map[str, int]
+    is_candidate: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -15,14 +15,19 @@
 
 
 def with_report(
-    state: State, peer: str, in_flight: Map[str, int], now_ms: Millis
+    state: State,
+    peer: str,
+    in_flight: Map[str, int],
+    is_candidate: bool,
+    now_ms: Millis,
 ) -> State:
     """Replace the last report of a peer."""
     old = state.peers.get(peer)
     peer_in_flight = _with_counts_replaced(
         state.peer_in_flight, old.in_flight if old else Map(), in_flight
     )
-    peers = state.peers.set(peer, PeerReport(now_ms, in_flight))
+    report = PeerReport(now_ms, in_flight, is_candidate)
+    peers = state.peers.set(peer, report)
     return state._replace(peers=peers, peer_in_flight=peer_in_flight)
 
 
@@ -41,15 +46,6 @@
     return state
 
 
-def fresh_peers(state: State, now_ms: Millis, max_age_ms: int) -> list[str]:
-    """Return the peers that have reported within the last ``max_age_ms``."""
-    return [
-        peer
-        for peer, report in state.peers.items()
-        if report.received_ms + max_age_ms > now_ms
-    ]
-
-
 def _with_counts_replaced(
     totals: Map[str, int], old: Map[str, int], new: Map[str, int]
 ) -> Map[str, int]:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -81,8 +81,9 @@
             return finish(state, ticket, answered, now_ms)
         case Tick(now_ms):
             return _tick(state, now_ms)
-        case PeerReported(now_ms, peer, in_flight):
-            return dispatch_all(with_report(state, peer, in_flight, now_ms), now_ms)
+        case PeerReported(now_ms, peer, in_flight, is_candidate):
+            state = with_report(state, peer, in_flight, is_candidate, now_ms)
+            return dispatch_all(state, now_ms)
         case ConfigurationPublished(_, configuration):
             return with_configuration(state, configuration), ()
         case UpstreamPublished(now_ms, upstream):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -38,10 +38,11 @@
 
 
 class PeerReport(NamedTuple):
-    """The last report of another entry."""
+    """The last report of another entry, and whether it may change expert maps."""
 
     received_ms: Millis
     in_flight: Map[str, int]
+    is_candidate: bool = True
 
 
 class ServiceLoad(NamedTuple):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -4,7 +4,6 @@
 samples how often experts are chosen, on some ranks only, as each read costs the group.
 """
 
-import itertools
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
 
@@ -14,7 +13,8 @@
     ExpertLayout,
     StorePosition,
     Upstream,
-    fresh_peers,
+    is_candidate,
+    is_first_candidate,
     is_paused,
 )
 from nutmegslip_decisions.experts import rollout
@@ -37,15 +37,14 @@
     SendOrder,
     Tick,
 )
+from nutmegslip_entry.direct._expert_loads import ExpertLoads
 from nutmegslip_entry.direct._state_machine import StateMachine
 from nutmegslip_runtime.eventlog import RateLimitedLog
 
 ROLLOUT_INTERVAL_S = 0.1
 COUNTS_INTERVAL_MS = 1_500  # expert load shifts last several seconds
 SAMPLED_RANKS = 2  # a sixth of a group of 12; the others have a similar load
-LEADER_TIMEOUT_MS = 900  # heartbeats come every 500 ms; two leaders are harmless
-PEER_DISCOVERY_MS = 2_500  # a new process first waits for reports of its peers
-PREVIOUS_LOADS_SHARE = 0.3  # weight of earlier loads, to smooth out single requests
+FIRST_INTERVAL_MS = 500  # from a new leader's first read of the counts to its second
 
 
 class ExpertCounts(NamedTuple):
@@ -102,9 +101,27 @@
         self._rollouts: dict[str, rollout.State] = {}
         self._members: dict[str, dict[str, Upstream]] = {}
         self._started_ms = machine.clock()
-        self._last_sampled_ms = 0
-        self._counts: dict[str, ExpertCounts] = {}
-        self._loads: dict[str, list[float]] = {}
+        self._stopping = False
+        self._was_leader = False
+        self._next_sample_ms = 0
+        self._loads: dict[str, ExpertLoads] = {}
+
+    @property
+    def is_changing(self) -> bool:
+        """Return whether a change of a map is in progress."""
+        return any(
+            not isinstance(state.phase, Idle) for state in self._rollouts.values()
+        )
+
+    @property
+    def is_candidate(self) -> bool:
+        """Return whether this entry may lead, as its peers are told."""
+        return is_candidate(
+            self._started_ms,
+            self._machine.clock(),
+            stopping=self._stopping,
+            changing=self.is_changing,
+        )
 
     def run(self) -> None:
         """Drive the rollouts until killed."""
@@ -112,11 +129,7 @@
             gevent.sleep(ROLLOUT_INTERVAL_S)
             now_ms = self._machine.clock()
             is_leader = self._is_leader(now_ms)
-            sample_due = (
-                is_leader and now_ms >= self._last_sampled_ms + COUNTS_INTERVAL_MS
-            )
-            if sample_due:
-                self._last_sampled_ms = now_ms
+            sample_due = self._is_sample_due(is_leader, now_ms)
             order = self._position().order
             fence = order * rollout.IDENTITY_COUNT + self._identity
             for name, layout, group in self._groups():
@@ -130,11 +143,28 @@
                 if sample_due and group is not None and self._is_settled(group, now_ms):
                     gevent.spawn(self._sample_loads, name, group, layout)
 
-    def _is_leader(self, now_ms: int) -> bool:
-        if now_ms < self._started_ms + PEER_DISCOVERY_MS:
+    def stop(self) -> None:
+        """Begin no more changes; those in progress go on."""
+        self._stopping = True
+
+    def _is_sample_due(self, is_leader: bool, now_ms: int) -> bool:
+        """Return whether to read counts now, and set the time of the next read."""
+        begins = is_leader and not self._was_leader
+        self._was_leader = is_leader
+        if begins:
+            # The first read is only the base of the second.
+            self._loads.clear()
+            self._next_sample_ms = now_ms + FIRST_INTERVAL_MS
+            return not self._stopping
+        if not is_leader or self._stopping or now_ms < self._next_sample_ms:
             return False
-        peers = fresh_peers(self._machine.state, now_ms, LEADER_TIMEOUT_MS)
-        return all(_address_key(self._address) < _address_key(peer) for peer in peers)
+        self._next_sample_ms = now_ms + COUNTS_INTERVAL_MS
+        return True
+
+    def _is_leader(self, now_ms: int) -> bool:
+        return self.is_candidate and is_first_candidate(
+            self._machine.state, self._address, now_ms
+        )
 
     def _is_settled(self, group: Group, now_ms: int) -> bool:
         """Return whether a change of the group's map can last.
@@ -249,32 +279,14 @@
 
     def _sample_loads(self, name: str, group: Group, layout: ExpertLayout) -> None:
         step = max(len(group.ranks) // SAMPLED_RANKS, 1)
-        recent = [0.0] * (layout.layers * layout.experts)
-        for rank in self._ranks_of(group)[::step]:
-            counts = self._rank_client.counts(rank)
-            if counts is None or len(counts.chosen) != len(recent):
-                continue
-            last = self._counts.get(rank.id)
-            self._counts[rank.id] = counts
-            # A restarted rank counts from zero.
-            same_epoch = last is not None and last.epoch == counts.epoch
-            before = last.chosen if same_epoch else itertools.repeat(0.0)
-            for index, (new, old) in enumerate(
-                zip(counts.chosen, before, strict=False)
-            ):
-                recent[index] += max(new - old, 0.0)
-        if not any(recent):
-            return
-        old = self._loads.get(name, recent)
-        pairs = zip(recent, old, strict=True)
-        loads = self._loads[name] = [
-            new + PREVIOUS_LOADS_SHARE * previous for new, previous in pairs
+        reads = [
+            (rank, counts.chosen)
+            for rank in self._ranks_of(group)[::step]
+            if (counts := self._rank_client.counts(rank)) is not None
         ]
-        layers = tuple(
-            tuple(loads[start : start + layout.experts])
-            for start in range(0, len(loads), layout.experts)
-        )
-        self._dispatch(name, LoadsMeasured(self._machine.clock(), layers))
+        loads = self._loads.setdefault(name, ExpertLoads()).update(reads, layout)
+        if loads is not None:
+            self._dispatch(name, LoadsMeasured(self._machine.clock(), loads))
 
 
 def _complete_group(name: str, members: list[Upstream]) -> Group | None:
@@ -287,7 +299,3 @@
         and numbers == list(range(ranks[0].rank.size))
     )
     return Group(name, epochs.pop(), tuple(u.id for u in ranks)) if complete else None
-
-
-def _address_key(address: str) -> tuple[int, ...]:
-    return tuple(int(part) for part in address.split("."))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -19,6 +19,9 @@
 HEARTBEAT_INTERVALS = 5  # an unchanged report is sent every fifth time
 MAX_DATAGRAM_BYTES = 8_192
 PEER_TIMEOUT_MS = 30_000
+# Third item of a report from an entry that may not change expert maps now. Versions
+# before it refuse such a report, which is sent only around a start or a stop.
+NO_CANDIDATE = "no-candidate"
 
 
 class Peers:
@@ -29,11 +32,13 @@
         machine: StateMachine,
         address: tuple[str, int],
         seeds: Callable[[], tuple[str, ...]],
+        is_candidate: Callable[[], bool],
         log_failure: Callable[[str], None],
     ) -> None:
         self._machine = machine
         self._address = address
         self._seeds = seeds
+        self._is_candidate = is_candidate
         self._log_failure = log_failure
         self._last_received_ms: dict[str, int] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -55,10 +60,9 @@
     def _handle_datagram(self, host: str, data: bytes) -> None:
         now_ms = self._machine.clock()
         try:
-            in_flight, peers = cbor2.loads(data)
-            report = PeerReported(
-                now_ms, host, Map({str(k): int(v) for k, v in in_flight.items()})
-            )
+            in_flight, peers, *rest = cbor2.loads(data)
+            counts = Map({str(k): int(v) for k, v in in_flight.items()})
+            report = PeerReported(now_ms, host, counts, NO_CANDIDATE not in rest)
             peers = [str(peer) for peer in peers]
         except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as error:
             self._log_failure(f"a datagram from {host} cannot be read: {error}")
@@ -73,10 +77,11 @@
         for number in count():
             gevent.sleep(REPORT_INTERVAL_MS / 1_000)
             report = load_report(self._machine.state)
-            if report == last and number % HEARTBEAT_INTERVALS:
+            rest = [] if self._is_candidate() else [NO_CANDIDATE]
+            if (report, rest) == last and number % HEARTBEAT_INTERVALS:
                 continue
-            last = report
-            data = cbor2.dumps([report, list(self._last_received_ms)])
+            last = report, rest
+            data = cbor2.dumps([report, list(self._last_received_ms), *rest])
             for host in self._known_peers():
                 self._send(host, data)
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -91,6 +91,7 @@
             self._machine,
             settings.peers,
             lambda: self._settings.seeds,
+            lambda: self._expert_maps.is_candidate,
             lambda reason: self._log.emit("peer-report-refused", reason=reason),
         )
         self._expert_maps = ExpertMapManager(
@@ -210,6 +211,7 @@
     def _stop(self, callers: StreamServer) -> ExitCode:
         """Leave the rotation, accept no new connection, finish requests in flight."""
         self._stopping = True
+        self._expert_maps.stop()
         self._log.emit("drain-started")
         self._log.flush()
         end_ms = boottime_ms() + self._settings.stop_grace_ms - STOP_MARGIN_MS
@@ -217,12 +219,15 @@
         callers.stop_accepting()
         for connection in tuple(self._connections):
             connection.close_if_idle()
-        while self._machine.state.requests and boottime_ms() < end_ms:
+        while self._has_work() and boottime_ms() < end_ms:
             gevent.sleep(TICK_INTERVAL_S)
         done = not self._machine.state.requests
         self._log.emit("drained" if done else "drain-timed-out")
         return ExitCode.OK if done else ExitCode.DRAIN_TIMED_OUT
 
+    def _has_work(self) -> bool:
+        return bool(self._machine.state.requests) or self._expert_maps.is_changing
+
 
 def _modified_ns(file: str) -> int:
     try:
