Raise a refused fencing number at once while nothing is held

The first refusal in five seconds, while ranks only prepare and no pass is held or armed, starts the same change again under a raised number; a second one within that time means that another process leads and is answered with the pause as before. Refusals of orders of the earlier attempt are ignored.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -8,7 +8,9 @@
     Transition,
     abandon,
     enter_phase,
+    is_quiescent,
     next_version,
+    start_change,
     update_phase,
     with_fence_above,
 )
@@ -33,6 +35,7 @@
 from nutmegslip_decisions.model import Millis
 
 PREPARE_RETRY_MS = 2_000  # before an accepted prepare is sent again
+FENCED_AGAIN_MS = 5_000  # a second refusal within it means that another one leads
 SETTLE_MS = 1_000  # twice the lag of reports
 
 
@@ -44,7 +47,7 @@
     if event.outcome is Outcome.UNKNOWN or isinstance(phase, Idle):
         return state, ()
     if event.outcome is Outcome.FENCED:
-        return _on_fenced(state, phase.version, event.now_ms)
+        return _on_fenced(state, event)
     done = event.outcome is Outcome.DONE
     if done and isinstance(phase, Preparing):
         # Copying takes time; the reports show when it is complete.
@@ -75,14 +78,23 @@
     return state, ()
 
 
-def _on_fenced(state: State, version: int, now_ms: Millis) -> Transition:
-    """Abandon the change, and use a higher fence next time.
+def _on_fenced(state: State, event: OrderOutcome) -> Transition:
+    """Use a higher fence: at once while nothing is held, else after a pause.
 
-    Otherwise a suspended process with a higher fence would block all changes.
+    Otherwise a process that is suspended or gone would block all changes with its
+    fence. Two processes that both lead would refuse each other without the pause.
     """
-    state, effects = abandon(state, version, "another process leads", now_ms)
-    idle = Idle(now_ms + SETTLE_MS)
-    return with_fence_above(state._replace(phase=idle), state.fence), effects
+    phase, now_ms = state.phase, event.now_ms
+    if isinstance(event.order, Prepare) and event.order.version != phase.version:
+        return state, ()  # of the attempt before this one
+    is_first = now_ms >= state.fenced_ms + FENCED_AGAIN_MS
+    raised = with_fence_above(state, state.fence)._replace(fenced_ms=now_ms)
+    if is_first and isinstance(phase, Preparing) and is_quiescent(state, now_ms):
+        version = next_version(state)
+        again = replace(phase, version=version)
+        return start_change(raised._replace(last_version=version), again), ()
+    raised, effects = abandon(raised, phase.version, "another process leads", now_ms)
+    return raised._replace(phase=Idle(now_ms + SETTLE_MS)), effects
 
 
 def _on_held(state: State, phase: Holding, done: bool, now_ms: Millis) -> Transition:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -71,6 +71,7 @@
                     last_version=state.last_version,
                     latest_fence=state.latest_fence,
                     fence_floor=state.fence_floor,
+                    fenced_ms=state.fenced_ms,
                     is_leader=state.is_leader,
                     begin_after_ms=state.begin_after_ms,
                 )
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -109,7 +109,8 @@
     to a later time while a rank copies, to delay the retry. ``fence`` is the fencing
     number of the change: a process that begins later has a higher one, and a rank
     refuses orders with a lower one than it has seen. ``fence_floor`` is above the last
-    fence that was refused. Until ``begin_after_ms`` a new leader begins no change.
+    fence that was refused, at ``fenced_ms``. Until ``begin_after_ms`` a new leader
+    begins no change.
     """
 
     options: Options
@@ -123,6 +124,7 @@
     fence: int = 0
     latest_fence: int = 0
     fence_floor: int = 0
+    fenced_ms: Millis = 0
     is_leader: bool = False
     begin_after_ms: Millis = 0
     reports_requested_ms: Millis = 0
--- a/tests/test_experts_rollout.py
+++ b/tests/test_experts_rollout.py
@@ -193,6 +193,18 @@
         self.assertLess(simulation.seen["held"], 5)
         self.assertGreater(simulation.seen["changed"], 0)
 
+    def test_a_leader_with_a_lower_fence_changes_the_map_without_a_pause(self):
+        """The leader before has raised its fence, as at a takeover, and is gone."""
+        changed_at = []
+        for behind in (0, 90_000):
+            simulation = Simulation(1, processes=1, fault_rate=0.0)
+            for rank in simulation.ranks.ranks:
+                rank.fence = (simulation.now_ms + behind) * IDENTITY_COUNT
+            while not simulation.seen["changed"]:
+                simulation.tick()
+            changed_at.append(simulation.now_ms)
+        self.assertLessEqual(changed_at[1] - changed_at[0], 3 * TICK_MS)
+
     @given(seed=st.integers(0, 2**32), fault_rate=st.sampled_from((0.1, 0.3, 0.6)))
     @settings(max_examples=120, suppress_health_check=list(HealthCheck))
     def test_no_pass_begins_with_two_maps_or_is_held_forever(self, seed, fault_rate):
