Tell peers the fencing number of each change of an expert map

Cause: ranks do not tell which fencing number they have seen last, and after a takeover it is well above the store's revision.

The entry that begins a change sends its number to its peers, and a number is above all that were heard. A lost message is made up for by the refusal as before. It is a message of its own, since versions before this one could not read a longer report; they refuse it and log so.

Ruled out: a larger margin at each refusal, which only moves the race to later numbers; asking the ranks, whose reports do not hold the number.

Tests: FenceTests and the messages in PeerReportTests.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
@@ -1,6 +1,6 @@
 """Rollout of a new expert map to a group's ranks, by orders from one process."""
 
-from nutmegslip_decisions.experts.rollout._phases import IDENTITY_COUNT
+from nutmegslip_decisions.experts.rollout._phases import IDENTITY_COUNT, next_fence
 from nutmegslip_decisions.experts.rollout._reduce import reduce
 from nutmegslip_decisions.experts.rollout._state import (
     Idle,
@@ -63,5 +63,6 @@
     "SendOrder",
     "State",
     "Tick",
+    "next_fence",
     "reduce",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
@@ -24,6 +24,14 @@
     return enter_phase(state._replace(fence=fence), phase)
 
 
+def next_fence(order: int, heard_fence: int, identity: int) -> int:
+    """Return a fence of this process above the store's order and a peer's fence.
+
+    Ranks do not tell which fence they have seen last, so leaders tell each other.
+    """
+    return max(order, heard_fence // IDENTITY_COUNT + 1) * IDENTITY_COUNT + identity
+
+
 def with_fence_above(state: State, fence: int) -> State:
     """Begin later changes with a fence well above one that may lag behind."""
     floor = fence + FENCE_MARGIN_REVISIONS * IDENTITY_COUNT
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -90,6 +90,7 @@
         address: str,
         identity: int,
         position: Callable[[], StorePosition],
+        announce_fence: Callable[[int], None],
         log: RateLimitedLog,
     ) -> None:
         self._machine = machine
@@ -97,6 +98,8 @@
         self._address = address
         self._identity = identity
         self._position = position
+        self._announce_fence = announce_fence
+        self._heard_fence = 0
         self._log = log
         self._rollouts: dict[str, rollout.State] = {}
         self._members: dict[str, dict[str, Upstream]] = {}
@@ -130,8 +133,9 @@
             now_ms = self._machine.clock()
             is_leader = self._is_leader(now_ms)
             sample_due = self._is_sample_due(is_leader, now_ms)
-            order = self._position().order
-            fence = order * rollout.IDENTITY_COUNT + self._identity
+            fence = rollout.next_fence(
+                self._position().order, self._heard_fence, self._identity
+            )
             for name, layout, group in self._groups():
                 if name not in self._rollouts:
                     options = rollout.Options(
@@ -143,6 +147,10 @@
                 if sample_due and group is not None and self._is_settled(group, now_ms):
                     gevent.spawn(self._sample_loads, name, group, layout)
 
+    def hear_fence(self, fence: int) -> None:
+        """Take note of a fencing number that a peer uses."""
+        self._heard_fence = max(self._heard_fence, fence)
+
     def stop(self) -> None:
         """Begin no more changes; those in progress go on."""
         self._stopping = True
@@ -205,8 +213,11 @@
             yield name, layouts[name], group
 
     def _dispatch(self, name: str, event: rollout.Event) -> None:
-        state, effects = rollout.reduce(self._rollouts[name], event)
+        before = self._rollouts[name]
+        state, effects = rollout.reduce(before, event)
         self._rollouts[name] = state
+        if state.fence > before.fence:
+            self._announce_fence(state.fence)
         for effect in effects:
             self._perform(name, effect)
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -22,6 +22,14 @@
 # Third item of a report from an entry that may not change expert maps now. Versions
 # before it refuse such a report, which is sent only around a start or a stop.
 NO_CANDIDATE = "no-candidate"
+FENCE = "fence"  # key of the only other message; versions before this one refuse it
+_UNREADABLE = (
+    cbor2.CBORDecodeError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 
 
 class Peers:
@@ -33,12 +41,14 @@
         address: tuple[str, int],
         seeds: Callable[[], tuple[str, ...]],
         is_candidate: Callable[[], bool],
+        hear_fence: Callable[[int], None],
         log_failure: Callable[[str], None],
     ) -> None:
         self._machine = machine
         self._address = address
         self._seeds = seeds
         self._is_candidate = is_candidate
+        self._hear_fence = hear_fence
         self._log_failure = log_failure
         self._last_received_ms: dict[str, int] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -57,14 +67,24 @@
                 continue
             self._handle_datagram(host, data)
 
+    def announce_fence(self, fence: int) -> None:
+        """Tell all peers the fencing number of a change of an expert map."""
+        data = cbor2.dumps({FENCE: fence})
+        for host in self._known_peers():
+            self._send(host, data)
+
     def _handle_datagram(self, host: str, data: bytes) -> None:
         now_ms = self._machine.clock()
         try:
-            in_flight, peers, *rest = cbor2.loads(data)
+            message = cbor2.loads(data)
+            if isinstance(message, dict):
+                self._hear_fence(int(message[FENCE]))
+                return
+            in_flight, peers, *rest = message
             counts = Map({str(k): int(v) for k, v in in_flight.items()})
             report = PeerReported(now_ms, host, counts, NO_CANDIDATE not in rest)
             peers = [str(peer) for peer in peers]
-        except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as error:
+        except _UNREADABLE as error:
             self._log_failure(f"a datagram from {host} cannot be read: {error}")
             return
         self._last_received_ms[host] = now_ms
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -92,6 +92,7 @@
             settings.peers,
             lambda: self._settings.seeds,
             lambda: self._expert_maps.is_candidate,
+            lambda fence: self._expert_maps.hear_fence(fence),
             lambda reason: self._log.emit("peer-report-refused", reason=reason),
         )
         self._expert_maps = ExpertMapManager(
@@ -102,6 +103,7 @@
             settings.peers[0],
             secrets.randbelow(IDENTITY_COUNT - 1) + 1,
             lambda: self._feed.position,
+            self._peers.announce_fence,
             self._log,
         )
         self._connections: set[Connection] = set()
--- a/tests/test_direct_leadership.py
+++ b/tests/test_direct_leadership.py
@@ -18,6 +18,7 @@
     CANDIDATE_TIMEOUT_MS,
     PEER_DISCOVERY_MS,
 )
+from nutmegslip_decisions.experts.rollout import IDENTITY_COUNT, next_fence
 from nutmegslip_entry.direct._expert_loads import ExpertLoads
 from nutmegslip_entry.direct._peers import Peers
 from tests.direct_world import World, upstream
@@ -71,19 +72,26 @@
     """Test the reports of peers of this version and of the one before."""
 
     def _receive(self, data):
-        events = []
+        """Return the events, fences and failures of a received datagram."""
+        events, fences, failures = [], [], []
         machine = SimpleNamespace(clock=lambda: 5, dispatch=events.append)
-        failures = []
-        peers = Peers(machine, ("127.0.0.1", 0), tuple, lambda: True, failures.append)
+        peers = Peers(
+            machine,
+            ("127.0.0.1", 0),
+            tuple,
+            lambda: True,
+            fences.append,
+            failures.append,
+        )
         receiver = gevent.spawn(peers.run)
         address = peers._socket.getsockname()
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             sender.sendto(data, address)
             with gevent.Timeout(2):
-                while not events and not failures:
+                while not (events or fences or failures):
                     gevent.sleep(0.01)
         receiver.kill()
-        return events, failures
+        return events, fences, failures
 
     def test_a_report_says_whether_its_sender_may_lead(self):
         cases = (
@@ -92,14 +100,34 @@
         )
         for message, expected in cases:
             with self.subTest(message):
-                (event,), failures = self._receive(cbor2.dumps(message))
-                self.assertEqual(failures, [])
+                (event,), fences, failures = self._receive(cbor2.dumps(message))
+                self.assertEqual((fences, failures), ([], []))
                 self.assertEqual(event.in_flight, Map({"u1": 2}))
                 self.assertIs(event.is_candidate, expected)
 
-    def test_an_unreadable_report_is_logged(self):
-        events, failures = self._receive(cbor2.dumps([1]))
-        self.assertEqual((events, len(failures)), ([], 1))
+    def test_the_fence_of_a_peer_is_heard(self):
+        received = self._receive(cbor2.dumps({"fence": 2**50}))
+        self.assertEqual(received, ([], [2**50], []))
+
+    def test_an_unreadable_message_is_logged(self):
+        for message in ([1], {"other": 1}, {"fence": "x"}, 7, b""):
+            with self.subTest(message):
+                events, fences, failures = self._receive(cbor2.dumps(message))
+                self.assertEqual((events, fences, len(failures)), ([], [], 1))
+
+
+class FenceTests(unittest.TestCase):
+    """Guard against a new leader whose first orders are refused by all ranks."""
+
+    def test_a_fence_is_above_the_store_and_the_peers(self):
+        own = 7
+        cases = ((100, 0), (100, 90 * IDENTITY_COUNT + 9), (100, 300 * IDENTITY_COUNT))
+        for order, heard in cases:
+            with self.subTest(order=order, heard=heard):
+                fence = next_fence(order, heard, own)
+                self.assertGreater(fence, heard)
+                self.assertGreaterEqual(fence, order * IDENTITY_COUNT)
+                self.assertEqual(fence % IDENTITY_COUNT, own)
 
 
 class ExpertLoadsTests(unittest.TestCase):
