--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -34,7 +34,6 @@
 )
 from nutmegslip_decisions.direct._leadership import is_candidate, is_first_candidate
 from nutmegslip_decisions.direct._options import Options
-from nutmegslip_decisions.direct._pace import open_share
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
 from nutmegslip_decisions.direct._state import State
@@ -113,6 +112,5 @@
     "is_ready",
     "judge",
     "load_report",
-    "open_share",
     "reduce",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -14,8 +14,8 @@
 
 import xxhash
 
+from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._groups import is_usable
-from nutmegslip_decisions.direct._pace import open_share
 from nutmegslip_decisions.direct._state import State, UpstreamStats
 from nutmegslip_decisions.direct._types import Request, Service, Upstream
 from nutmegslip_decisions.model import Millis
@@ -81,6 +81,7 @@
 def capacity_of(state: State, service: str, now_ms: Millis) -> Capacity:
     """Return the current capacity of a service."""
     cold_limit = cold_limit_per_entry(state, service)
+    open_shares = load_of(state, service).open_shares
     slots: Counter[str] = Counter()
     taken: Counter[str] = Counter()
     candidates: list[Candidate] = []
@@ -95,8 +96,7 @@
         if cold_limit is None or stats.sent.count(now_ms) < cold_limit:
             candidates.append(Candidate(upstream, in_flight))
     open_slots = {
-        group: count * open_share(state, service, group)
-        for group, count in slots.items()
+        group: count * open_shares.get(group, 1.0) for group, count in slots.items()
     }
     free_groups = {group for group, count in open_slots.items() if taken[group] < count}
     return Capacity(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
@@ -14,7 +14,6 @@
         self._routes: dict[tuple[str, str], Route] = {
             (route.host, route.prefix): route for route in configuration.routes
         }
-        self._gap_bounds_ms = _gap_bounds_ms(configuration)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request, None if there is none.
@@ -28,19 +27,6 @@
                 return route
         return None
 
-    def gap_bound_ms(self, service: str) -> int:
-        """Return the lowest event gap bound of a service's routes, 0 for none."""
-        return self._gap_bounds_ms.get(service, 0)
-
-
-def _gap_bounds_ms(configuration: Configuration) -> dict[str, int]:
-    bounds: dict[str, int] = {}
-    for route in configuration.routes:
-        for target in route.targets if route.gap_ms else ():
-            bound_ms = bounds.get(target.service, route.gap_ms)
-            bounds[target.service] = min(bound_ms, route.gap_ms)
-    return bounds
-
 
 def pick_service(route: Route, request_id: str) -> str:
     """Return the service of a request, chosen by the published weights.
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -30,7 +30,6 @@
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
-    open_share,
 )
 
 FieldValue = str | int | float | bool
@@ -154,7 +153,8 @@
 
 
 def _open_tenths(state: State, service: str, group: str) -> int:
-    return round(10 * open_share(state, service, group))
+    load = state.loads.get(service)
+    return round(10 * load.open_shares.get(group, 1.0)) if load else 10
 
 
 def _suspicion_lines(before: State, after: State) -> Iterator[LogLine]:
