Use the first loads that a new leader measures

Cause: a new leader reads the counts for the second time after 0.5 s, but begins no change for 0.6 s, so its first loads were always ignored.

The second read now follows 0.8 s after the first. The new test failed before.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -44,7 +44,7 @@
 ROLLOUT_INTERVAL_S = 0.1
 COUNTS_INTERVAL_MS = 1_500  # expert load shifts last several seconds
 SAMPLED_RANKS = 2  # a sixth of a group of 12; the others have a similar load
-FIRST_INTERVAL_MS = 500  # from a new leader's first read of the counts to its second
+FIRST_INTERVAL_MS = 800  # a new leader begins no change before it
 
 
 class ExpertCounts(NamedTuple):
--- a/tests/test_direct_leadership.py
+++ b/tests/test_direct_leadership.py
@@ -18,8 +18,10 @@
     CANDIDATE_TIMEOUT_MS,
     PEER_DISCOVERY_MS,
 )
+from nutmegslip_decisions.experts import rollout
 from nutmegslip_decisions.experts.rollout import IDENTITY_COUNT, next_fence
 from nutmegslip_entry.direct._expert_loads import ExpertLoads
+from nutmegslip_entry.direct._expert_maps import FIRST_INTERVAL_MS
 from nutmegslip_entry.direct._peers import Peers
 from tests.direct_world import World, upstream
 
@@ -130,6 +132,26 @@
                 self.assertEqual(fence % IDENTITY_COUNT, own)
 
 
+class FirstChangeTests(unittest.TestCase):
+    """Guard against a new leader that ignores the first loads it has measured."""
+
+    def test_the_first_loads_of_a_new_leader_begin_a_change(self):
+        start_ms = 5_000
+        state = rollout.State(rollout.Options(1, places=2, spare=1))
+        layout = (((0,), (1,)),)
+        report = rollout.RankReport(1, 9, 0, None, None, None)
+        for event in (
+            rollout.GroupUpdated(start_ms, rollout.Group("g", 1, ("m1", "m2"))),
+            rollout.Tick(start_ms, True, IDENTITY_COUNT),
+            rollout.LayoutRead(start_ms, 1, 0, layout),
+            rollout.ReportReceived(start_ms, "m1", report),
+            rollout.ReportReceived(start_ms, "m2", report),
+            rollout.LoadsMeasured(start_ms + FIRST_INTERVAL_MS, ((9.0, 1.0),)),
+        ):
+            state, _ = rollout.reduce(state, event)
+        self.assertIsInstance(state.phase, rollout.Preparing)
+
+
 class ExpertLoadsTests(unittest.TestCase):
     """Guard against plans from all that was counted since the ranks started."""
 
