Test the reads of a restored store by the events that they cause

The feed against the stand-in store: a start from the copy, a new era, two restores slept through, a restore between two pages, an older copy that answers, a store without eras.

--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -1,7 +1,15 @@
 """Test what an entry does when the store comes back from an older copy."""
 
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
+import gevent
+from nutmegslip_platform import _store
+from nutmegslip_platform._feed import StoreFeed
+
+from fakes.runners import Runner
+from fakes.store import StoreServer
 from nutmegslip_decisions.direct import (
     ConfigurationPublished,
     ListingRead,
@@ -22,6 +30,7 @@
 from tests.direct_world import World, configuration, upstream
 
 AT = StorePosition(3, 100)
+_ADDRESS = SimpleNamespace(address="127.0.0.1:9000")
 
 
 class PositionTests(unittest.TestCase):
@@ -198,5 +207,110 @@
         self.assertNotIn("u1", self.world.state.departures)
 
 
+class FeedTests(unittest.TestCase):
+    """Test the reads of a store that is restored, by the events that they cause."""
+
+    def setUp(self):
+        self.store = StoreServer()
+        self.addCleanup(self.store.close)
+        self.lines = []
+        self.events = []
+        for number in range(60):  # two pages
+            self._put(f"u{number}")
+
+    def _put(self, name):
+        record = Runner.registration(_ADDRESS, "board")
+        self.store.history.put(f"servers/{name}", record)
+
+    def _start(self):
+        log = SimpleNamespace(emit=lambda name, **_fields: self.lines.append(name))
+        feed = StoreFeed(self.store.address, self.events.append, log)
+        greenlet = gevent.spawn(feed.run)
+        self.addCleanup(greenlet.kill)
+        return feed
+
+    def _wait_for(self, condition):
+        with gevent.Timeout(8):
+            while not condition():
+                gevent.sleep(0.02)
+
+    def _listings(self):
+        return [event for event in self.events if isinstance(event, ListingRead)]
+
+    def _restores(self):
+        return [event.era for event in self.events if isinstance(event, StoreRestored)]
+
+    def test_a_start_from_the_copy_is_no_restore(self):
+        self.store.era = 4
+        feed = self._start()
+        self._wait_for(self._listings)
+        self.assertEqual((self._restores(), feed.position.era), ([], 4))
+
+    def test_everything_is_listed_again_in_a_new_era(self):
+        copy = self.store.history.copy()
+        self._put("lost")
+        self._start()
+        self._wait_for(self._listings)
+        self.store.restore(copy)
+        self._wait_for(lambda: len(self._listings()) > 1)
+        self.assertEqual(self._restores(), [2])
+        first, second = (
+            {upstream.id for upstream in listing.upstreams}
+            for listing in self._listings()
+        )
+        self.assertEqual(first - second, {"lost"})
+        self.assertLess(
+            self.events.index(next(e for e in self.events if type(e) is StoreRestored)),
+            self.events.index(self._listings()[1]),
+        )
+
+    def test_one_restore_is_seen_for_two_that_were_slept_through(self):
+        copy = self.store.history.copy()
+        self._start()
+        self._wait_for(self._listings)
+        self.store.restore(copy)
+        self.store.restore(copy)
+        self._wait_for(lambda: len(self._listings()) > 1)
+        self.assertEqual(self._restores(), [3])
+
+    def test_a_restore_between_two_pages_begins_the_list_again(self):
+        history, pages = self.store.history, []
+        copy, page = history.copy(), history.page
+
+        def restore_after_first(prefix, after):
+            pages.append(after)
+            if len(pages) == 2:
+                self.store.restore(copy)
+            return page(prefix, after)
+
+        history.page = restore_after_first
+        self._start()
+        self._wait_for(self._listings)
+        self.assertEqual([bool(after) for after in pages], [False, True, False, True])
+        self.assertEqual(len(self._listings()[0].upstreams), 60)
+
+    def test_an_answer_of_an_older_copy_is_ignored(self):
+        self.store.era = 5
+        self._start()
+        self._wait_for(self._listings)
+        self.store.era = 4
+        self._put("of-the-copy")
+        self._wait_for(lambda: "store-answer-stale" in self.lines)
+        self.assertEqual([e for e in self.events if type(e) is UpstreamPublished], [])
+        self.store.era = 5
+        self._wait_for(lambda: [e for e in self.events if type(e) is UpstreamPublished])
+        self.assertEqual(self._restores(), [])
+
+    def test_a_store_without_eras_may_forget_its_revisions(self):
+        with mock.patch.object(_store, "ERA", b"x-not-there"):
+            copy = self.store.history.copy()
+            self._put("lost")
+            self._start()
+            self._wait_for(self._listings)
+            self.store.restore(copy)
+            self._wait_for(lambda: len(self._listings()) > 1)
+        self.assertEqual(self._restores(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
