Distrust a restored store from its first list on

Cause: found while reading. The 6 s in which the list may be that of the copy began when the new era was first seen. A store that names it in a refusal and is listed only later was trusted at once: removed upstreams and zones that were out got requests again.

The time begins with the first list of the new era, and the rejoin time too. Test seen failing: u1 and u3 were chosen in place of u2.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
@@ -11,6 +11,7 @@
 )
 from nutmegslip_decisions.direct._restored import (
     is_superseded,
+    with_copy_listed,
     with_revived_withheld,
     without_withheld,
 )
@@ -80,6 +81,7 @@
 ) -> State:
     """Replace the list of upstreams."""
     listed = {upstream.id for upstream in upstreams}
+    state = with_copy_listed(state, now_ms)
     state = with_revived_withheld(state, upstreams, now_ms)
     for upstream in upstreams:
         if not is_superseded(state, upstream, now_ms):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -101,8 +101,8 @@
         case StoreReached(now_ms):
             until_ms = now_ms + state.options.rejoin_ms
             return state._replace(store_lost=False, lapse_until_ms=until_ms), ()
-        case StoreRestored(now_ms):
-            return with_restored_store(state, now_ms), ()
+        case StoreRestored():
+            return with_restored_store(state), ()
         case UpstreamLeaving(now_ms, upstream, misdirected):
             if misdirected:
                 return with_other_announcement(state, upstream, now_ms), ()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_restored.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_restored.py
@@ -17,12 +17,20 @@
 REWRITE_MS = 6_000  # registrations of dead upstreams lapse after three heartbeats
 
 
-def with_restored_store(state: State, now_ms: Millis) -> State:
-    """Distrust what the store lists until everything was written again.
+def with_restored_store(state: State) -> State:
+    """Keep what is believed until the store is listed again."""
+    return state._replace(awaits_copy=True)
+
+
+def with_copy_listed(state: State, now_ms: Millis) -> State:
+    """Distrust the first list of a restored store until all was written again.
 
     Upstreams that the copy lacks stay in use for the rejoin time.
     """
+    if not state.awaits_copy:
+        return state
     return state._replace(
+        awaits_copy=False,
         copy_until_ms=now_ms + REWRITE_MS,
         lapse_until_ms=max(state.lapse_until_ms, now_ms + state.options.rejoin_ms),
     )
@@ -72,6 +80,6 @@
 
 def without_copy(state: State, now_ms: Millis) -> State:
     """Trust the list again once everything was written again."""
-    if not state.copy_until_ms or now_ms < state.copy_until_ms:
+    if not state.copy_until_ms or now_ms < state.copy_until_ms or state.awaits_copy:
         return state
     return state._replace(copy_until_ms=0, withheld=Map(), zones_out=state.zones_read)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -95,12 +95,12 @@
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
     upstream. ``lapsing`` maps removed upstreams to the time until which they stay in
-    use. Until ``copy_until_ms`` the list may be that of a copy from which the store
-    was restored; ``withheld`` maps the upstreams that it revived to the time until
-    which they get no requests. ``zones_read`` are the zones out of service by the
-    list, ``zones_out`` those in force. ``unadmitted`` holds the requests that wait
-    for the first configuration, by ticket; ``waiting`` holds the queues of tickets,
-    by service.
+    use. ``awaits_copy`` is whether the store was restored from a copy and not listed
+    since; until ``copy_until_ms`` the list may be that of the copy, and ``withheld``
+    maps the upstreams that it revived to the time until which they get no requests.
+    ``zones_read`` are the zones out of service by the list, ``zones_out`` those in
+    force. ``unadmitted`` holds the requests that wait for the first configuration, by
+    ticket; ``waiting`` holds the queues of tickets, by service.
     """
 
     options: Options
@@ -111,6 +111,7 @@
     lapsing: Map[str, Millis] = Map()
     store_lost: bool = False
     lapse_until_ms: Millis = 0
+    awaits_copy: bool = False
     copy_until_ms: Millis = 0
     departures: Map[str, Departure] = Map()
     withheld: Map[str, Millis] = Map()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_store_position.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_store_position.py
@@ -35,18 +35,14 @@
         return self.era * REVISIONS_PER_ERA + self.revision
 
 
-def judge(
-    position: StorePosition, era: int | None, revision: int | None = None
-) -> Verdict:
+def judge(position: StorePosition, era: int | None, revision: int) -> Verdict:
     """Return the verdict on an answer with this era and revision.
 
     ``era`` is None for an answer that names none; it is then taken to be of the same
-    era. ``revision`` is None for an answer without content.
+    era.
     """
     if era is not None and era != position.era:
         if position == StorePosition():
             return Verdict.CURRENT
         return Verdict.RESTORED if era > position.era else Verdict.STALE
-    if revision is not None and revision < position.revision:
-        return Verdict.STALE
-    return Verdict.CURRENT
+    return Verdict.STALE if revision < position.revision else Verdict.CURRENT
