Withhold requests whose prompt has a part that crashes upstreams

Cause: nothing read the parts of a prompt. A stream whose upstream crashed was sent to another one at once, so a prompt that crashes each upstream took out two groups of ranks, again with each new request.

What: platform/ decodes the parts; `_part_evidence` counts crashes in sequence without a begun answer in between, over all entries, which tell each other; after two a part's requests go one at a time, after three they are refused as not run, with the time of the next probe in Retry-After; two probes, in turns of the entries, end a wrong blame.

Ruled out: a plain count (a host fault breaks many requests at once and would blame their shared parts) and 4xx (the request is proper, and has not run).

Red when broken: begun answers ignored, entries do not tell each other, the first part blamed, repeats unrestrained.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of an entry that sends to published upstreams without a sidecar."""
 
+from nutmegslip_decisions.direct._crash_parts import SUSPECT_CRASHES, part_report
 from nutmegslip_decisions.direct._event_splitter import EventSplitter
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
@@ -33,6 +34,7 @@
     ZonesOut,
 )
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._part_evidence import Blame, Crash, PartReport
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
@@ -59,12 +61,15 @@
 )
 
 __all__ = [
+    "SUSPECT_CRASHES",
     "Account",
     "AttemptFailed",
+    "Blame",
     "Broken",
     "CallerRequest",
     "Configuration",
     "ConfigurationPublished",
+    "Crash",
     "Declined",
     "DeliverFailure",
     "Effect",
@@ -80,6 +85,7 @@
     "Options",
     "OptionsChanged",
     "PaceMeasured",
+    "PartReport",
     "PeerReported",
     "RefusalKind",
     "Refuse",
@@ -111,5 +117,6 @@
     "is_ready",
     "judge",
     "load_report",
+    "part_report",
     "reduce",
 ]
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -0,0 +1,209 @@
+"""Withhold requests whose prompt has a part that crashes each upstream.
+
+Answers the load pattern in which requests with one common prompt part arrive at any
+entry, and each upstream that begins to answer one crashes and takes its group along.
+Sent again elsewhere, each of them takes out two groups. After two crashes in sequence
+requests with the part are sent one at a time, after three they are refused. Two probes
+then find out whether the part still crashes upstreams; the entries take turns at them.
+"""
+
+from collections.abc import Iterable
+from enum import Enum, auto
+
+from immutables import Map
+
+from nutmegslip_decisions.direct._budget import load_of
+from nutmegslip_decisions.direct._part_evidence import (
+    Blame,
+    Crash,
+    PartEvidence,
+    PartReport,
+    crashes_in_sequence,
+    merged_blame,
+    most_recent,
+    with_crash,
+    without_expired,
+)
+from nutmegslip_decisions.direct._peers import STALE_AFTER_MS, fresh_peers
+from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._types import Request
+from nutmegslip_decisions.model import Millis
+
+SUSPECT_CRASHES = 2  # in sequence; one crash is most often the host's own
+BLAME_CRASHES = 3
+SERVICE_ANSWERS_MS = 3_000  # without any begun answer the whole service is away
+PROBE_DELAYS_MS = (10_000, 60_000)  # from the blame on; each probe may cost a group
+PROBE_TURN_MS = 1_000  # an entry's turn; its report of a probe arrives well within it
+
+
+class Gate(Enum):
+    """Whether a request may be sent, as far as its prompt parts decide."""
+
+    OPEN = auto()
+    HELD = auto()
+    CLOSED = auto()
+
+
+def part_gate(state: State, request: Request, now_ms: Millis) -> Gate:
+    """Return whether a request may be sent now."""
+    evidence = state.parts
+    if not request.parts or not (evidence.counts or evidence.blames):
+        return Gate.OPEN
+    blamed = [part for part in request.parts if part in evidence.blames]
+    if not all(_is_probe_due(state, part, now_ms) for part in blamed):
+        return Gate.CLOSED
+    # A request that has met a crash itself is likelier to be its cause.
+    limit = 1 if request.met_crash else SUSPECT_CRASHES
+    suspected = {p for p in request.parts if evidence.counts.get(p, 0) >= limit}
+    in_flight = _parts_in_flight(state, now_ms) if suspected or blamed else frozenset()
+    return Gate.HELD if in_flight & (suspected | set(blamed)) else Gate.OPEN
+
+
+def blame_delay_ms(state: State, request: Request, now_ms: Millis) -> int:
+    """Return the time after which a probe may have ended the blame of a request."""
+    blames = [state.parts.blames[p] for p in request.parts if p in state.parts.blames]
+    due_ms = [blame.since_ms + _probe_delay_ms(blame) for blame in blames]
+    return max(max(due_ms, default=now_ms) - now_ms, PROBE_TURN_MS)
+
+
+def with_crashed_attempt(state: State, request: Request, now_ms: Millis) -> State:
+    """Count an attempt whose upstream crashed before the answer began."""
+    answered_ms = load_of(state, request.service).answered_ms
+    if not request.parts or answered_ms + SERVICE_ANSWERS_MS < now_ms:
+        return state
+    evidence = state.parts
+    for part in request.parts:
+        evidence = with_crash(evidence, part, Crash(request.sent_at_ms, now_ms))
+    return _with_counts(state._replace(parts=evidence), request.parts, now_ms)
+
+
+def with_begun_answer(state: State, request: Request, now_ms: Millis) -> State:
+    """Acquit the parts of a request whose answer has begun."""
+    if not request.parts:
+        return state
+    evidence = state.parts
+    recent, begun = evidence.recent, evidence.begun
+    for part in request.parts:
+        recent = recent.set(part, now_ms)
+        if part in evidence.counts or part in evidence.blames:
+            begun = begun.set(part, now_ms)
+    evidence = evidence._replace(recent=recent, begun=begun)
+    if begun is state.parts.begun:
+        return state._replace(parts=evidence)
+    return _with_counts(state._replace(parts=evidence), request.parts, now_ms)
+
+
+def with_probe(state: State, request: Request) -> State:
+    """Count a request that is sent although a part of it is blamed."""
+    blames = state.parts.blames
+    for part in request.parts:
+        if part in blames:
+            blame = blames[part]
+            blames = blames.set(part, blame._replace(probes=blame.probes + 1))
+    return state._replace(parts=state.parts._replace(blames=blames))
+
+
+def with_blame_seen(state: State, request: Request, now_ms: Millis) -> State:
+    """Keep the blame of the parts of a request for as long as they arrive."""
+    blames = state.parts.blames
+    for part in request.parts:
+        if part in blames:
+            blames = blames.set(part, blames[part]._replace(seen_ms=now_ms))
+    return state._replace(parts=state.parts._replace(blames=blames))
+
+
+def with_part_report(
+    state: State, old: PartReport, new: PartReport, now_ms: Millis
+) -> State:
+    """Take over what a peer reports; it is already stored with the peer."""
+    changed = {*old.crashes, *new.crashes, *new.begun, *new.blames}
+    if not changed:
+        return state
+    evidence = state.parts
+    begun, blames = evidence.begun, evidence.blames
+    for part, begun_ms in new.begun.items():
+        begun = begun.set(part, max(begun.get(part, begun_ms), begun_ms))
+    for part, blame in new.blames.items():
+        blames = blames.set(part, merged_blame(blames.get(part), blame))
+    evidence = evidence._replace(begun=begun, blames=blames)
+    return _with_counts(state._replace(parts=evidence), changed, now_ms)
+
+
+def without_expired_parts(state: State, now_ms: Millis) -> State:
+    """Forget what is known of parts that have not been seen for long."""
+    if state.parts == PartEvidence():
+        return state
+    state = state._replace(parts=without_expired(state.parts, now_ms))
+    return _with_counts(state, tuple(state.parts.counts), now_ms)
+
+
+def part_report(state: State) -> PartReport:
+    """Return what this entry tells its peers."""
+    evidence = state.parts
+    suspected = frozenset(evidence.counts) | frozenset(evidence.blames)
+    in_flight = _own_parts_in_flight(state) & suspected if suspected else frozenset()
+    return PartReport(
+        most_recent(evidence.crashes, lambda crashes: crashes[-1].ended_ms),
+        most_recent(evidence.begun),
+        in_flight,
+        most_recent(evidence.blames, lambda blame: blame.seen_ms),
+    )
+
+
+def _with_counts(state: State, parts: Iterable[str], now_ms: Millis) -> State:
+    """Count the crashes of some parts again, and blame or acquit them."""
+    evidence = state.parts
+    counts, blames = evidence.counts, evidence.blames
+    for part in parts:
+        begun_ms = evidence.begun.get(part)
+        counted = crashes_in_sequence(_crashes_of(state, part), begun_ms)
+        counts = counts.set(part, len(counted)) if counted else _without(counts, part)
+        blame = blames.get(part)
+        if blame is not None and begun_ms is not None and begun_ms >= blame.since_ms:
+            blames = blames.delete(part)
+        elif blame is None and len(counted) >= BLAME_CRASHES:
+            blames = blames.set(part, Blame(counted[-1].ended_ms, 0, now_ms))
+    return state._replace(parts=evidence._replace(counts=counts, blames=blames))
+
+
+def _without(found: Map, key: str) -> Map:
+    return found.delete(key) if key in found else found
+
+
+def _crashes_of(state: State, part: str) -> tuple[Crash, ...]:
+    reports = (peer.parts.crashes.get(part, ()) for peer in state.peers.values())
+    own = state.parts.crashes.get(part, ())
+    return (*own, *(crash for crashes in reports for crash in crashes))
+
+
+def _is_probe_due(state: State, part: str, now_ms: Millis) -> bool:
+    blame = state.parts.blames[part]
+    if blame.probes >= len(PROBE_DELAYS_MS):
+        return False
+    since_due_ms = now_ms - blame.since_ms - _probe_delay_ms(blame)
+    if since_due_ms < 0:
+        return False
+    entries = sorted(
+        {state.options.address, *fresh_peers(state, now_ms, STALE_AFTER_MS)}
+    )
+    turn = int(since_due_ms / PROBE_TURN_MS) % len(entries)
+    return entries[turn] == state.options.address
+
+
+def _probe_delay_ms(blame: Blame) -> int:
+    return PROBE_DELAYS_MS[min(blame.probes, len(PROBE_DELAYS_MS) - 1)]
+
+
+def _parts_in_flight(state: State, now_ms: Millis) -> frozenset[str]:
+    peers = fresh_peers(state, now_ms, STALE_AFTER_MS)
+    reports = (state.peers[peer].parts for peer in peers)
+    return _own_parts_in_flight(state).union(*(r.in_flight for r in reports))
+
+
+def _own_parts_in_flight(state: State) -> frozenset[str]:
+    return frozenset(
+        part
+        for request in state.requests.values()
+        if request.upstream
+        for part in request.parts
+    )
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -2,6 +2,12 @@
 
 from nutmegslip_decisions.direct._budget import count_retry
 from nutmegslip_decisions.direct._choice import Capacity, capacity_of, choose
+from nutmegslip_decisions.direct._crash_parts import (
+    Gate,
+    blame_delay_ms,
+    part_gate,
+    with_probe,
+)
 from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
@@ -19,8 +25,11 @@
 
 def send_or_queue(state: State, request: Request, now_ms: Millis) -> Step:
     """Send a request if a slot is free, else queue or refuse it."""
+    gate = part_gate(state, request, now_ms)
+    if gate is Gate.CLOSED:
+        return refuse(state, request, RefusalKind.CRASHING_PART, now_ms)
     capacity = capacity_of(state, request.service, now_ms)
-    if not state.waiting.get(request.service):
+    if gate is Gate.OPEN and not _has_sendable(state, request.service, now_ms):
         upstream = choose(state, capacity, request, now_ms)
         if upstream is not None:
             return send(state, request, upstream.id, now_ms)
@@ -39,6 +48,7 @@
     upstream = state.upstreams[upstream_id]
     if request.reached:
         state = count_retry(state, request.service, now_ms)
+    state = with_probe(state, request)
     sent = request._replace(
         upstream=upstream_id,
         sent_at_ms=now_ms,
@@ -54,6 +64,14 @@
     return state, (Send(sent, upstream),)
 
 
+def _has_sendable(state: State, service: str, now_ms: Millis) -> bool:
+    """Return whether a queued request waits for a slot, not for another request."""
+    return any(
+        part_gate(state, state.requests[ticket], now_ms) is Gate.OPEN
+        for ticket in state.waiting.get(service, ())
+    )
+
+
 def dispatch_all(state: State, now_ms: Millis) -> Step:
     """Send queued requests of all services."""
     effects: tuple[Effect, ...] = ()
@@ -77,6 +95,8 @@
         request = state.requests[ticket]
         if request.deadline_ms <= now_ms:
             continue  # expired, as after a suspension; the next tick refuses it
+        if part_gate(state, request, now_ms) is not Gate.OPEN:
+            continue
         upstream = choose(state, capacity, request, now_ms)
         if upstream is None:
             continue  # it has tried the free upstreams; a later one may use them
@@ -110,6 +130,8 @@
     """Return why a queued request is refused, None if it may still be served."""
     if request.deadline_ms <= now_ms:
         return RefusalKind.DEADLINE
+    if part_gate(state, request, now_ms) is Gate.CLOSED:
+        return RefusalKind.CRASHING_PART
     # While every upstream is paused, no slot can become free before a pause ends.
     free_ms = capacity.resume_ms if capacity.is_paused else now_ms
     if latest_send_ms(state, request) <= free_ms and not request.streaming:
@@ -126,7 +148,9 @@
 def refuse(state: State, request: Request, kind: RefusalKind, now_ms: Millis) -> Step:
     """Refuse a request, with a retry delay if it has not run."""
     ran, wait_ms = request.may_have_run, 0
-    if not ran:
+    if not ran and kind is RefusalKind.CRASHING_PART:
+        wait_ms = blame_delay_ms(state, request, now_ms)
+    elif not ran:
         capacity = capacity_of(state, request.service, now_ms)
         wait_ms = retry_delay_ms(state, request, capacity, now_ms)
     return remove_request(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -6,6 +6,7 @@
 from immutables import Map
 
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._part_evidence import PartReport
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
@@ -14,6 +15,8 @@
 )
 from nutmegslip_decisions.model import Millis
 
+_NO_PARTS = PartReport()
+
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationPublished:
@@ -116,11 +119,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReported:
-    """Another entry reported its requests in flight, by upstream."""
+    """Another entry reported its requests in flight, by upstream, and suspect parts."""
 
     now_ms: Millis
     peer: str
     in_flight: Map[str, int]
+    parts: PartReport = _NO_PARTS
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,10 +158,12 @@
 class Broken:
     """The attempt ended without a complete answer; the request may have run.
 
-    ``detail`` is the reason.
+    ``detail`` is the reason. ``closed`` is whether the upstream closed or reset the
+    connection, as a crash does.
     """
 
     detail: str = ""
+    closed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,12 +257,18 @@
     DECLINED = "declined"
     DEADLINE = "deadline"
     BROKEN = "broken"
+    CRASHING_PART = "crashing-part"
 
     @property
     def status(self) -> int:
         """Return the HTTP status; 503 is valid only if the request has not run."""
         return _STATUSES.get(self, 503)
 
+    @property
+    def advice(self) -> str:
+        """Return what the caller can do about it, empty if Retry-After says it all."""
+        return _ADVICE.get(self, "")
+
     @property
     def remedy(self) -> str:
         """Return what an operator can do about it."""
@@ -268,6 +280,11 @@
     RefusalKind.UNKNOWN_KEY: 401,
     RefusalKind.BROKEN: 502,
 }
+_ADVICE = {
+    RefusalKind.CRASHING_PART: "A shared part of this prompt crashes the model; the "
+    "request has not run. Send the prompt without that part, or after the Retry-After "
+    "delay.",
+}
 _REMEDIES = {
     RefusalKind.NO_CONFIGURATION: "No configuration was read; check the "
     "connection to the store.",
@@ -282,6 +299,8 @@
     RefusalKind.DEADLINE: "Look for requests that held the slots during the wait.",
     RefusalKind.BROKEN: "Look at the upstream of the failed attempt; it may have run "
     "the request.",
+    RefusalKind.CRASHING_PART: "Look for part-blamed lines; find what the prompts with "
+    "that part hold. Restart all entries to lift the blame.",
 }
 
 
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -0,0 +1,136 @@
+"""Evidence on prompt parts: crashes before an answer began, and begun answers.
+
+A crash is an attempt whose upstream closed the connection before its answer began.
+Faults of hosts cause crashes too, in numbers and together, so crashes of a part count
+only in sequence: each sent after the one before had ended, and no answer with the part
+begun in between, at any entry. An innocent part fails this test as soon as one of its
+answers begins; a part that crashes upstreams never does.
+"""
+
+from typing import NamedTuple
+
+from immutables import Map
+
+from nutmegslip_decisions.model import Millis
+
+INNOCENT_MS = 2_000  # after an answer with the part has begun
+CRASH_MEMORY_MS = 600_000
+BEGUN_MEMORY_MS = 30_000  # in which each peer is reached, also one that was cut off
+MAX_CRASHES_PER_PART = 4
+MAX_PARTS = 256  # those whose last crash is the latest are kept
+MAX_REPORTED_PARTS = 16  # keeps a report within one datagram
+
+
+class Crash(NamedTuple):
+    """When a crashed attempt was sent, and when it ended."""
+
+    sent_ms: Millis
+    ended_ms: Millis
+
+
+class Blame(NamedTuple):
+    """A part that crashes upstreams.
+
+    ``probes`` counts the requests that were sent since to see whether it still does;
+    ``seen_ms`` is when a request with it last arrived.
+    """
+
+    since_ms: Millis
+    probes: int
+    seen_ms: Millis
+
+
+class PartReport(NamedTuple):
+    """What an entry tells its peers, by part.
+
+    ``crashes`` are its own. ``begun`` is when an answer with a suspected part last
+    began, at any entry. ``in_flight`` are the suspected parts of its requests.
+    """
+
+    crashes: Map[str, tuple[Crash, ...]] = Map()
+    begun: Map[str, Millis] = Map()
+    in_flight: frozenset[str] = frozenset()
+    blames: Map[str, Blame] = Map()
+
+
+class PartEvidence(NamedTuple):
+    """What this entry knows about prompt parts.
+
+    ``crashes`` are its own; ``recent`` is when an answer with a part last began here.
+    ``begun`` is when one with a suspected part last began at any entry. ``counts`` are
+    the crashes in sequence over all entries, for the parts that have any.
+    """
+
+    crashes: Map[str, tuple[Crash, ...]] = Map()
+    recent: Map[str, Millis] = Map()
+    begun: Map[str, Millis] = Map()
+    counts: Map[str, int] = Map()
+    blames: Map[str, Blame] = Map()
+
+
+def crashes_in_sequence(
+    crashes: tuple[Crash, ...], begun_ms: Millis | None
+) -> tuple[Crash, ...]:
+    """Return the crashes that count: none overlaps the one before.
+
+    Those that ended before ``begun_ms``, or shortly after it, do not count.
+    """
+    counted: list[Crash] = []
+    for crash in sorted(crashes, key=lambda crash: crash.ended_ms):
+        if begun_ms is not None and crash.ended_ms <= begun_ms + INNOCENT_MS:
+            continue
+        if not counted or crash.sent_ms >= counted[-1].ended_ms:
+            counted.append(crash)
+    return tuple(counted)
+
+
+def merged_blame(old: Blame | None, new: Blame) -> Blame:
+    """Return what two entries know of the same blame."""
+    if old is None:
+        return new
+    return Blame(
+        min(old.since_ms, new.since_ms),
+        max(old.probes, new.probes),
+        max(old.seen_ms, new.seen_ms),
+    )
+
+
+def with_crash(evidence: PartEvidence, part: str, crash: Crash) -> PartEvidence:
+    """Keep one more crash of a part, unless an answer with it began just before."""
+    begun_ms = evidence.recent.get(part)
+    if begun_ms is not None and crash.ended_ms <= begun_ms + INNOCENT_MS:
+        return evidence
+    kept = (*evidence.crashes.get(part, ()), crash)[-MAX_CRASHES_PER_PART:]
+    crashes = evidence.crashes.set(part, kept)
+    if len(crashes) > MAX_PARTS:
+        crashes = crashes.delete(min(crashes, key=lambda p: crashes[p][-1].ended_ms))
+    return evidence._replace(crashes=crashes)
+
+
+def without_expired(evidence: PartEvidence, now_ms: Millis) -> PartEvidence:
+    """Forget crashes and begun answers that no longer matter."""
+    return evidence._replace(
+        crashes=_newer(
+            evidence.crashes, now_ms - CRASH_MEMORY_MS, lambda found: found[-1].ended_ms
+        ),
+        recent=_newer(evidence.recent, now_ms - INNOCENT_MS),
+        begun=_newer(evidence.begun, now_ms - BEGUN_MEMORY_MS),
+        blames=_newer(
+            evidence.blames, now_ms - CRASH_MEMORY_MS, lambda blame: blame.seen_ms
+        ),
+    )
+
+
+def most_recent(found: Map, at_ms=lambda value: value) -> Map:
+    """Return the entries with the latest times, as many as a report may hold."""
+    if len(found) <= MAX_REPORTED_PARTS:
+        return found
+    latest = sorted(found.items(), key=lambda item: at_ms(item[1]), reverse=True)
+    return Map(latest[:MAX_REPORTED_PARTS])
+
+
+def _newer(found: Map, oldest_ms: Millis, at_ms=lambda value: value) -> Map:
+    expired = [key for key, value in found.items() if at_ms(value) < oldest_ms]
+    for key in expired:
+        found = found.delete(key)
+    return found
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -1,5 +1,9 @@
 """The reducer of an entry that sends to upstreams directly."""
 
+from nutmegslip_decisions.direct._crash_parts import (
+    with_part_report,
+    without_expired_parts,
+)
 from nutmegslip_decisions.direct._departures import (
     with_announcement,
     with_other_announcement,
@@ -33,6 +37,7 @@
     ZonesOut,
 )
 from nutmegslip_decisions.direct._pace import with_pace
+from nutmegslip_decisions.direct._part_evidence import PartReport
 from nutmegslip_decisions.direct._pauses import with_pause
 from nutmegslip_decisions.direct._peers import with_report, without_stale
 from nutmegslip_decisions.direct._published import (
@@ -81,8 +86,12 @@
             return finish(state, ticket, answered, now_ms)
         case Tick(now_ms):
             return _tick(state, now_ms)
-        case PeerReported(now_ms, peer, in_flight):
-            return dispatch_all(with_report(state, peer, in_flight, now_ms), now_ms)
+        case PeerReported(now_ms, peer, in_flight, parts):
+            old = state.peers.get(peer)
+            state = with_report(state, peer, in_flight, parts, now_ms)
+            old_parts = old.parts if old else PartReport()
+            state = with_part_report(state, old_parts, parts, now_ms)
+            return dispatch_all(state, now_ms)
         case ConfigurationPublished(_, configuration):
             return with_configuration(state, configuration), ()
         case UpstreamPublished(now_ms, upstream):
@@ -121,6 +130,7 @@
 def _tick(state: State, now_ms: Millis) -> Step:
     state = without_stale(without_lapsed(state, now_ms), now_ms)
     state = without_forgotten(without_copy(state, now_ms), now_ms)
+    state = without_expired_parts(state, now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -1,6 +1,11 @@
 """Handle the events of one request, from its arrival to its final answer."""
 
 from nutmegslip_decisions.direct._budget import count_arrival, load_of
+from nutmegslip_decisions.direct._crash_parts import (
+    with_begun_answer,
+    with_blame_seen,
+    with_crashed_attempt,
+)
 from nutmegslip_decisions.direct._dispatch import (
     Step,
     dispatch,
@@ -10,6 +15,7 @@
 )
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
+    Broken,
     Declined,
     DeliverFailure,
     Errored,
@@ -47,6 +53,7 @@
     request = _admitted_request(caller_request, route, account, arrived_ms)
     state = count_arrival(state, request.service, now_ms)
     state = state._replace(requests=state.requests.set(request.ticket, request))
+    state = with_blame_seen(state, request, now_ms)
     return send_or_queue(state, request, now_ms)
 
 
@@ -73,6 +80,7 @@
         priority=priority_of(route, account.priority),
         arrived_ms=arrived_ms,
         deadline_ms=deadline_ms,
+        parts=caller_request.parts,
     )
 
 
@@ -84,8 +92,12 @@
     load = load_of(state, request.service)
     took_ms = now_ms - request.sent_at_ms
     start_ms = load.start_ms + SMOOTHING * (took_ms - load.start_ms)
-    loads = state.loads.set(request.service, load._replace(start_ms=start_ms))
-    state = state._replace(loads=loads)
+    load = load._replace(start_ms=start_ms, answered_ms=now_ms)
+    state = state._replace(
+        loads=state.loads.set(request.service, load),
+        requests=state.requests.set(ticket, request._replace(begun=True)),
+    )
+    state = with_begun_answer(state, request, now_ms)
     upstream = state.upstreams.get(request.upstream)
     return state if upstream is None else without_suspicion(state, upstream)
 
@@ -103,6 +115,9 @@
     )
     if isinstance(failure, Declined) and failure.at_fault:
         state = _with_group_suspicion(state, request.upstream, now_ms)
+    crashed = isinstance(failure, Broken) and failure.closed and not request.begun
+    if crashed:
+        state = with_crashed_attempt(state, request, now_ms)
     sent = not _is_unsent(failure)
     request = request._replace(
         upstream="",
@@ -110,6 +125,8 @@
         reached=request.reached + (not isinstance(failure, NotSent)),
         may_have_run=request.may_have_run or may_have_executed(failure),
         streaming=event.streaming,
+        begun=False,
+        met_crash=request.met_crash or crashed,
     )
     state = state._replace(requests=state.requests.set(request.ticket, request))
     if may_retry(state, request, failure, now_ms):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -5,6 +5,7 @@
 from immutables import Map
 
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._part_evidence import PartEvidence, PartReport
 from nutmegslip_decisions.direct._routes import RouteTable
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
@@ -42,20 +43,23 @@
 
     received_ms: Millis
     in_flight: Map[str, int]
+    parts: PartReport = PartReport()
 
 
 class ServiceLoad(NamedTuple):
     """Load of a service, measured from this entry's own requests.
 
     ``hold_ms`` is the mean time that a request holds a slot, ``start_ms`` the mean
-    time to the first part of an answer. ``open_shares`` is the share of slots that
-    are open, by group; groups that are not in it have all slots open.
+    time to the first part of an answer. ``answered_ms`` is when an answer last began.
+    ``open_shares`` is the share of slots that are open, by group; groups that are not
+    in it have all slots open.
     """
 
     arrivals: Window
     retries: Window
     hold_ms: float
     start_ms: float
+    answered_ms: Millis = 0
     open_shares: Map[str, float] = Map()
 
 
@@ -121,6 +125,7 @@
     peers: Map[str, PeerReport] = Map()
     peer_in_flight: Map[str, int] = Map()
     suspicions: Map[str, GroupSuspicion] = Map()
+    parts: PartEvidence = PartEvidence()
     loads: Map[str, ServiceLoad] = Map()
     requests: Map[int, Request] = Map()
     unadmitted: Map[int, Unadmitted] = Map()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -159,7 +159,7 @@
     """A request as received from a caller, before admission.
 
     ``ticket`` identifies it within this process. ``caller_deadline_ms`` is when the
-    caller stops waiting, None if unknown.
+    caller stops waiting, None if unknown. ``parts`` are the shared parts of its prompt.
     """
 
     ticket: int
@@ -168,13 +168,16 @@
     path: str
     key: str | None
     caller_deadline_ms: Millis | None
+    parts: tuple[str, ...] = ()
 
 
 class Request(NamedTuple):
     """One admitted request without a final answer.
 
     ``sends`` counts towards the route's attempts. ``reached`` counts the attempts
-    that arrived at an upstream, misdirected ones included.
+    that arrived at an upstream, misdirected ones included. ``begun`` is whether the
+    answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
+    before it did.
     """
 
     ticket: int
@@ -192,3 +195,6 @@
     reached: int = 0
     may_have_run: bool = False
     streaming: bool = False
+    parts: tuple[str, ...] = ()
+    begun: bool = False
+    met_crash: bool = False
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+import msgspec
+
 from nutmegslip_decisions.direct import (
     AttemptFailed,
     Broken,
@@ -33,6 +35,7 @@
 from nutmegslip_runtime.http1 import (
     ClientConnection,
     ConnectionBroken,
+    ConnectionClosed,
     Header,
     HttpRequest,
     NotConnected,
@@ -101,6 +104,7 @@
             caller_deadline_ms=(
                 None if timeout_ms is None else self._machine.clock() + timeout_ms
             ),
+            parts=fields.shared_parts,
         )
 
 
@@ -162,7 +166,7 @@
         if refusal.retry_after_ms:
             seconds = b"%.3f" % (refusal.retry_after_ms / 1_000)
             headers.append((b"retry-after", seconds))
-        self._caller.answer(status, headers, b"")
+        self._caller.answer(status, headers, _problem(refusal, status, headers))
 
     def _deliver_failure(self) -> None:
         if self._caller.streaming or self._failed_answer is None:
@@ -185,7 +189,7 @@
             failure = self._relay_answer(connection, request, upstream)
             answer_read = True
         except ConnectionBroken as error:
-            return Broken(str(error))
+            return Broken(str(error), closed=isinstance(error, ConnectionClosed))
         finally:
             if answer_read:
                 self._pool.release(upstream, connection)
@@ -281,3 +285,18 @@
     def _forward(self, complete: _CompleteAnswer) -> None:
         head_only = self._http_request.method == b"HEAD"
         self._caller.forward(complete.answer, complete.body, head_only)
+
+
+def _problem(refusal: Refuse, status: int, headers: list[Header]) -> bytes:
+    """Return a problem document for the caller, and add its type to the headers."""
+    if not refusal.kind.advice:
+        return b""
+    headers.append((b"content-type", b"application/problem+json"))
+    return msgspec.json.encode(
+        {
+            "title": str(refusal.kind),
+            "status": status,
+            "detail": refusal.kind.advice,
+            "ran": "unknown" if refusal.ran else "no",
+        }
+    )
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_header_codec.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_header_codec.py
@@ -7,11 +7,15 @@
 
 
 class CallerFields(NamedTuple):
-    """Fields of a caller's headers; ``timeout_ms`` is how long the caller waits."""
+    """Fields of a caller's headers; ``timeout_ms`` is how long the caller waits.
+
+    ``shared_parts`` are the ids of the parts that its prompt may share with others.
+    """
 
     request_id: str
     key: str | None
     timeout_ms: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 class Pause(NamedTuple):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from nutmegslip_decisions.direct import (
+    SUSPECT_CRASHES,
     AttemptFailed,
     Broken,
     ConfigurationPublished,
@@ -123,6 +124,7 @@
                     },
                 )
     yield from _suspicion_lines(before, after)
+    yield from _part_lines(before, after)
     yield from (
         line
         for effect in effects
@@ -168,6 +170,28 @@
             yield _log_line("group-trusted", group=group, epoch=suspicion.epoch)
 
 
+def _part_lines(before: State, after: State) -> Iterator[LogLine]:
+    """Yield a line for each prompt part whose suspicion or blame changed."""
+    old, new = before.parts, after.parts
+    if old.counts is not new.counts:
+        for part, crashes in new.counts.items():
+            if crashes >= SUSPECT_CRASHES and crashes > old.counts.get(part, 0):
+                yield _log_line("part-suspected", part=part, crashes=crashes)
+    if old.blames is not new.blames:
+        for part, blame in new.blames.items():
+            known = old.blames.get(part)
+            if known is None:
+                yield _log_line("part-blamed", part=part, probes=blame.probes)
+            elif blame.probes > known.probes:
+                yield _log_line("part-probed", part=part, probes=blame.probes)
+        for part, blame in old.blames.items():
+            if part not in new.blames:
+                acquitted = part in new.begun
+                yield _log_line(
+                    "part-cleared", part=part, probes=blame.probes, acquitted=acquitted
+                )
+
+
 def _effect_lines(
     effect: Effect, event: Event, before: State, after: State
 ) -> Iterator[LogLine]:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -39,6 +39,11 @@
             "The version in force.",
             registry=self.registry,
         )
+        self._blamed_parts = Gauge(
+            "nutmegslip_blamed_parts",
+            "Prompt parts that crash upstreams; requests with them are refused.",
+            registry=self.registry,
+        )
 
     def count_event(self, event: str) -> None:
         """Count one event."""
@@ -55,3 +60,4 @@
         self._waiting.set(sum(len(queue) for queue in state.waiting.values()))
         self._store_calls.set(store_calls)
         self._version.set(configuration.version if configuration else 0)
+        self._blamed_parts.set(len(state.parts.blames))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -1,4 +1,4 @@
-"""Exchange load reports with other entries: requests in flight by upstream.
+"""Exchange reports with other entries: requests in flight, and suspect prompt parts.
 
 UDP fits better than TCP here: the next report replaces a lost one, and none is
 delayed behind an older one.
@@ -7,12 +7,17 @@
 from collections.abc import Callable
 from itertools import count
 
-import cbor2
 import gevent
 from gevent import socket
 from immutables import Map
 
-from nutmegslip_decisions.direct import PeerReported, load_report
+from nutmegslip_decisions.direct import PeerReported, load_report, part_report
+from nutmegslip_entry.direct._reports import (
+    Report,
+    ReportError,
+    decode_report,
+    encode_report,
+)
 from nutmegslip_entry.direct._state_machine import StateMachine
 
 REPORT_INTERVAL_MS = 100  # well below the time for which a request holds a slot
@@ -55,28 +60,30 @@
     def _handle_datagram(self, host: str, data: bytes) -> None:
         now_ms = self._machine.clock()
         try:
-            in_flight, peers = cbor2.loads(data)
-            report = PeerReported(
-                now_ms, host, Map({str(k): int(v) for k, v in in_flight.items()})
-            )
-            peers = [str(peer) for peer in peers]
-        except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as error:
+            report = decode_report(data, now_ms)
+        except ReportError as error:
             self._log_failure(f"a datagram from {host} cannot be read: {error}")
             return
         self._last_received_ms[host] = now_ms
-        for peer in peers:
+        for peer in report.peers:
             self._last_received_ms.setdefault(peer, now_ms - PEER_TIMEOUT_MS // 2)
-        self._machine.dispatch(report)
+        self._machine.dispatch(
+            PeerReported(now_ms, host, report.in_flight, report.parts)
+        )
 
     def _send_reports(self) -> None:
         last = None
         for number in count():
             gevent.sleep(REPORT_INTERVAL_MS / 1_000)
-            report = load_report(self._machine.state)
-            if report == last and number % HEARTBEAT_INTERVALS:
+            now_ms = self._machine.clock()
+            state = self._machine.state
+            current = load_report(state), part_report(state)
+            if current == last and number % HEARTBEAT_INTERVALS:
                 continue
-            last = report
-            data = cbor2.dumps([report, list(self._last_received_ms)])
+            last = current
+            in_flight, parts = current
+            report = Report(Map(in_flight), tuple(self._last_received_ms), parts)
+            data = encode_report(report, now_ms)
             for host in self._known_peers():
                 self._send(host, data)
 
--- /dev/null
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -0,0 +1,88 @@
+"""Encode and decode the reports that entries exchange.
+
+Times travel as ages, since the clocks of two hosts count from different starts.
+"""
+
+from typing import NamedTuple
+
+import cbor2
+from immutables import Map
+
+from nutmegslip_decisions.direct import Blame, Crash, PartReport
+from nutmegslip_decisions.model import Millis
+
+
+class ReportError(ValueError):
+    """A datagram that is no report; look for another program that sends to the port."""
+
+
+class Report(NamedTuple):
+    """Requests in flight by upstream, known peers, and suspect prompt parts."""
+
+    in_flight: Map[str, int]
+    peers: tuple[str, ...]
+    parts: PartReport = PartReport()
+
+
+def encode_report(report: Report, now_ms: Millis) -> bytes:
+    """Return a report as one datagram."""
+    parts = report.parts
+    fields = [
+        {
+            part: [[now_ms - crash.sent_ms, now_ms - crash.ended_ms] for crash in found]
+            for part, found in parts.crashes.items()
+        },
+        {part: now_ms - begun_ms for part, begun_ms in parts.begun.items()},
+        sorted(parts.in_flight),
+        {
+            part: [now_ms - blame.since_ms, blame.probes, now_ms - blame.seen_ms]
+            for part, blame in parts.blames.items()
+        },
+    ]
+    encoded = [dict(report.in_flight), list(report.peers)]
+    return cbor2.dumps([*encoded, fields] if any(fields) else encoded)
+
+
+def decode_report(data: bytes, now_ms: Millis) -> Report:
+    """Return the report in a datagram; raise ReportError if there is none."""
+    try:
+        in_flight, peers, *more = cbor2.loads(data)
+        return Report(
+            Map({str(key): int(count) for key, count in in_flight.items()}),
+            tuple(str(peer) for peer in peers),
+            _decode_parts(*more[0], now_ms) if more else PartReport(),
+        )
+    except (
+        cbor2.CBORDecodeError,
+        AttributeError,
+        LookupError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise ReportError(str(error)) from error
+
+
+def _decode_parts(
+    crashes: dict, begun: dict, in_flight: list, blames: dict, now_ms: Millis
+) -> PartReport:
+    return PartReport(
+        Map(
+            {
+                str(part): tuple(
+                    Crash(now_ms - int(sent), now_ms - int(ended))
+                    for sent, ended in found
+                )
+                for part, found in crashes.items()
+            }
+        ),
+        Map({str(part): now_ms - int(age) for part, age in begun.items()}),
+        frozenset(str(part) for part in in_flight),
+        Map(
+            {
+                str(part): Blame(now_ms - int(since), int(probes), now_ms - int(seen))
+                for part, (since, probes, seen) in blames.items()
+            }
+        ),
+    )
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -99,13 +99,15 @@
         peers=_address(listen["peers"]),
         seeds=tuple(seed.rpartition(":")[0] for seed in fleet["seeds"]),
         store=sections["store"]["address"],
-        options=_options(process, fleet, sections["bounds"]),
+        options=_options(sections),
         stop_grace_ms=int(sections["bounds"].get("stop_grace_s", 8) * 1_000),
     )
 
 
-def _options(process: _Process, fleet: _Fleet, bounds: _Bounds) -> Options:
-    defaults = Options(process["host"])
+def _options(sections: _File) -> Options:
+    process, fleet, bounds = sections["process"], sections["fleet"], sections["bounds"]
+    peers_host, _ = _address(sections["listen"]["peers"])
+    defaults = Options(process["host"], peers_host)
     return defaults._replace(
         # Each zone has at least one entry, even if the seeds do not list it yet.
         entries=max(len(fleet["seeds"]), len(fleet["zones"]), 1),
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -195,6 +195,42 @@
         "Fix the upstream's Retry-After: a number of seconds.",
         ("upstream", "value"),
     ),
+    EventKind(
+        2024,
+        "part-suspected",
+        Level.WARNING,
+        "Upstreams crashed in sequence on requests with this part of the prompt; such "
+        "requests are sent one at a time.",
+        "None needed; an answer that begins ends the suspicion.",
+        ("part", "crashes"),
+    ),
+    EventKind(
+        2025,
+        "part-blamed",
+        Level.ERROR,
+        "This part of the prompt crashes upstreams; requests with it are refused.",
+        "Find what the prompts with this part hold. Restart all entries to lift the "
+        "blame; it ends by itself when a probe is answered.",
+        ("part", "probes"),
+    ),
+    EventKind(
+        2026,
+        "part-probed",
+        Level.WARNING,
+        "A request with a blamed part is sent to find out whether it still crashes "
+        "its upstream.",
+        NO_REMEDY,
+        ("part", "probes"),
+    ),
+    EventKind(
+        2027,
+        "part-cleared",
+        Level.INFO,
+        "Requests with this part of the prompt are sent again: one was answered if "
+        "'acquitted' is true, else none arrived for ten minutes.",
+        NO_REMEDY,
+        ("part", "probes", "acquitted"),
+    ),
     EventKind(
         2101,
         "request-sent",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
@@ -3,6 +3,7 @@
 from nutmegslip_runtime.http1._connection import (
     ClientConnection,
     ConnectionBroken,
+    ConnectionClosed,
     ConnectionTimedOut,
     NotConnected,
     ResponseHead,
@@ -27,6 +28,7 @@
     "LAST_CHUNK",
     "ClientConnection",
     "ConnectionBroken",
+    "ConnectionClosed",
     "ConnectionTimedOut",
     "Framing",
     "Header",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -23,6 +23,10 @@
     """The connection ended or sent invalid HTTP; the request may have run."""
 
 
+class ConnectionClosed(ConnectionBroken):
+    """The server closed or reset the connection; the request may have run."""
+
+
 class ConnectionTimedOut(ConnectionBroken):
     """A send or read timed out; the request may have run."""
 
@@ -150,7 +154,7 @@
                     raise ConnectionBroken(str(error)) from error
                 raise ConnectionTimedOut("no response before the deadline") from error
             except OSError as error:
-                raise ConnectionBroken(str(error)) from error
+                raise ConnectionClosed(str(error)) from error
             self._feed(data)
         return self._parts.popleft()
 
@@ -161,7 +165,7 @@
                 self._in_message = False
                 self._parts.append(_END_OF_BODY)
                 return
-            raise ConnectionBroken("the connection was closed")
+            raise ConnectionClosed("the connection was closed")
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
