Guard against six failures that operators of similar systems met

Cause, each shown by a test of tests/test_direct_failures.py: a late copy of an answer without an id was taken for the next one on a used connection; a stop reset the connections in the backlog and ended while a request's bytes still arrived; one time limit for a whole write cut callers that read slowly but steadily; an unexpected error ended a background task for good (store, peers, maps, ticks); an infinite grace time ended the reload.

Stand-in runners serve streams that only their close ends, late copies, drips and pauses, and crash on a part of a prompt.

Ruled out: a pool of connections of its own for rank calls; ids tell as much.

--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -84,10 +84,10 @@
         *own, peers = [sock.getsockname()[1] for sock in self._reserved]
         self.ports = Ports(*own, peers_port or peers)
         self.log = folder / f"{name}.log"
-        self._settings_path = folder / f"{name}.toml"
+        self.settings = folder / f"{name}.toml"
         self._process: subprocess.Popen | None = None
         seed_list = ", ".join(f'"{seed}:{self.ports.peers}"' for seed in seeds)
-        self._settings_path.write_text(
+        self.settings.write_text(
             _SETTINGS.format(
                 name=name, ip=ip, store=store, seeds=seed_list, **self.ports._asdict()
             )
@@ -104,7 +104,7 @@
             self._process = subprocess.Popen(
                 [sys.executable, "platform/entry.py"],
                 cwd=ROOT,
-                env=os.environ | {"NUTMEGSLIP_CONFIG": str(self._settings_path)},
+                env=os.environ | {"NUTMEGSLIP_CONFIG": str(self.settings)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
--- a/fakes/runners/_faults.py
+++ b/fakes/runners/_faults.py
@@ -20,3 +20,9 @@
     TWICE = "twice"  # the response is sent twice
     OTHER_FIRST = "other-first"  # a late response to another request comes first
     CUT_EVENT = "cut-event"  # a stream ends within an event
+    CLOSE_CUT = "close-cut"  # the same, of a stream that only the close ends
+    CLOSE_RESET = "close-reset"  # a reset ends such a stream between two events
+    CLOSE_EMPTY = "close-empty"  # such a stream ends before its first event
+    COPY_LATE = "copy-late"  # before the next answer comes a copy of this one, no id
+    DRIP = "drip"  # a stream stalls within an event and sends a byte now and then
+    SLOW = "slow"  # a stream's events come with long pauses
--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
@@ -21,8 +22,15 @@
 
 REQUEST_ID, RESPONSE_SEAL = b"X-Nutmegslip-Request-Id", b"X-Nutmegslip-Response-Seal"
 EXPECTED_INSTANCE = b"x-nutmegslip-expect-instance"
+PROMPT_PARTS = b"x-nutmegslip-prompt-prefix"
 NOT_EXECUTED = (b"X-Nutmegslip-Not-Executed", b"1")
 LEAVING = (b"Server-Leaving", b"1")
+DRIP_INTERVAL_S = 0.05
+SLOW_INTERVAL_S = 0.7
+CRASH_S = 0.5  # for which a crashed runner resets connections
+ENDED_BY_CLOSE = frozenset(
+    {Fault.NO_LENGTH, Fault.CLOSE_CUT, Fault.CLOSE_RESET, Fault.CLOSE_EMPTY}
+)
 
 
 class Arrival(NamedTuple):
@@ -43,9 +51,11 @@
     """A fake runner that listens on loopback.
 
     ``leaving`` is whether it says in each answer that it leaves. ``pause`` is the
-    value of Retry-After that ``Fault.PAUSE`` sends. ``runs`` counts runs by request
-    id; ``requests`` lists every request that ran, and ``disconnected`` the ids of
-    those whose caller disconnected. ``arrivals`` lists every request that arrived.
+    value of Retry-After that ``Fault.PAUSE`` sends. A request whose prompt has
+    ``crashing_part``, not as its last part, crashes the runner for half a second.
+    ``runs`` counts runs by request id; ``requests`` lists every request that ran, and
+    ``disconnected`` the ids of those whose caller disconnected. ``arrivals`` lists
+    every request that arrived.
     """
 
     def __init__(self, name: str, *, events: int = 0, pause_s: float = 0.0) -> None:
@@ -54,6 +64,11 @@
         self.leaving = False
         self.pause = b"1"
         self.arrivals: list[Arrival] = []
+        self.crashing_part = ""
+        self.crashes_ms: list[int] = []
+        self._down_until_ms = 0
+        self._sockets: set[socket.socket] = set()
+        self._copies: dict[socket.socket, bytes] = {}
         self.events = events
         self.pause_s = pause_s
         self.runs: Counter[str] = Counter()
@@ -87,16 +102,35 @@
 
     def _serve(self, sock: socket.socket, _peer: object) -> None:
         reader = RequestReader(65_536, 8_388_608)
+        self._sockets.add(sock)
         try:
+            if boottime_ms() < self._down_until_ms:
+                reset_on_close(sock)
+                return
             while data := sock.recv(65_536):
                 reader.feed(data)
                 for request in iter(reader.next_request, None):
                     self._answer(sock, request)
         except (OSError, RequestFault):
-            pass  # the entry closed the connection
+            pass  # the entry closed the connection, or the runner crashed
         finally:
+            self._sockets.discard(sock)
+            self._copies.pop(sock, None)
+            sock.close()
+
+    def _crash(self) -> None:
+        """Reset every connection, and new ones for a while."""
+        self.crashes_ms.append(boottime_ms())
+        self._down_until_ms = boottime_ms() + int(CRASH_S * 1_000)
+        for sock in tuple(self._sockets):
+            reset_on_close(sock)
             sock.close()
 
+    def _crashes_on(self, request: HttpRequest) -> bool:
+        value = (request.header(PROMPT_PARTS) or b"").decode()
+        shared = [part.partition(":")[0] for part in value.split(",")[:-1]]
+        return bool(self.crashing_part) and self.crashing_part in shared
+
     def _answer(self, sock: socket.socket, request: HttpRequest) -> None:
         expected = request.header(EXPECTED_INSTANCE)
         own = expected in (None, self.name.encode())
@@ -125,6 +159,9 @@
         request_id = (request.header(REQUEST_ID.lower()) or b"").decode()
         self.runs[request_id] += 1
         self.requests.append(request)
+        if self._crashes_on(request):
+            self._crash()
+            raise OSError("connection reset by a crash")
         headers = [
             (REQUEST_ID, request_id.encode()),
             (RESPONSE_SEAL, f"{self.name}.{request_id}".encode()),
@@ -161,6 +198,9 @@
             case Fault.NO_LENGTH:
                 sock.sendall(encode_head(200, headers, close=True) + body)
                 raise OSError("connection closed by an injected fault")
+            case Fault.COPY_LATE:
+                sock.sendall(self._copies.pop(sock, b"") + response)
+                self._copies[sock] = encode_head(200, headers[1:], length=4) + b"late"
             case Fault.TWICE:
                 sock.sendall(response + response)
             case Fault.OTHER_FIRST:
@@ -179,17 +219,42 @@
         request_id: str,
     ) -> None:
         stream_headers = [*headers, (b"content-type", b"text/event-stream")]
-        sock.sendall(encode_head(200, stream_headers, chunked=True))
+        ends_by_close = self.fault in ENDED_BY_CLOSE
+        encode: Callable[[bytes], bytes] = bytes if ends_by_close else encode_chunk
+        head = encode_head(
+            200, stream_headers, chunked=not ends_by_close, close=ends_by_close
+        )
+        sock.sendall(head)
         after = int(request.header(b"last-event-id") or 0)
         for number in range(after + 1, self.events + 1):
-            gevent.sleep(self.pause_s)
+            gevent.sleep(SLOW_INTERVAL_S if self.fault is Fault.SLOW else self.pause_s)
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
-            if self.fault is Fault.CUT_EVENT and number == after + 3:
-                sock.sendall(encode_chunk(event[:-5]))
-                raise OSError("response truncated by an injected fault")
+            if number == after + 3:
+                self._break_off(sock, event, encode)
+            elif self.fault is Fault.CLOSE_EMPTY:
+                raise OSError("connection closed by an injected fault")
             try:
-                sock.sendall(encode_chunk(event))
+                sock.sendall(encode(event))
             except OSError:
                 self.disconnected.append(request_id)
                 raise
+        if ends_by_close:
+            raise OSError("the close ends the response")
         sock.sendall(LAST_CHUNK)
+
+    def _break_off(
+        self, sock: socket.socket, event: bytes, encode: Callable[[bytes], bytes]
+    ) -> None:
+        """End or stall a stream at this event, if the fault is one of a stream."""
+        match self.fault:
+            case Fault.CUT_EVENT | Fault.CLOSE_CUT:
+                sock.sendall(encode(event[:-5]))
+                raise OSError("response truncated by an injected fault")
+            case Fault.CLOSE_RESET:
+                gevent.sleep(DRIP_INTERVAL_S)  # a reset overtakes unread bytes
+                reset_on_close(sock)
+                raise OSError("connection reset by an injected fault")
+            case Fault.DRIP:
+                while True:
+                    sock.sendall(encode(b"d"))
+                    gevent.sleep(DRIP_INTERVAL_S)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -1,6 +1,6 @@
 """Serve callers over HTTP and send their requests to upstreams directly."""
 
-from nutmegslip_entry.direct._callers import Connection
+from nutmegslip_entry.direct._callers import Connection, accept_waiting
 from nutmegslip_entry.direct._expert_maps import ExpertCounts, RankClient, RankLayout
 from nutmegslip_entry.direct._header_codec import (
     AnswerFields,
@@ -28,6 +28,7 @@
     "Settings",
     "SettingsError",
     "StateMachine",
+    "accept_waiting",
     "log_lines",
     "read_settings",
 ]
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.server import StreamServer
 from gevent.socket import wait_read
 
 from nutmegslip_decisions.direct import RequestLimits
@@ -20,10 +21,11 @@
     encode_head,
     end_to_end_headers,
     reset_on_close,
+    send_all,
 )
 
 READ_BYTES = 65_536
-WRITE_TIMEOUT_S = 5.0  # a caller that takes longer to read one write is disconnected
+WRITE_STALL_TIMEOUT_S = 5.0  # a caller that reads nothing for longer is disconnected
 LINGER_S = 1.0  # time for a caller to read a refusal before the close
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -97,9 +99,8 @@
             reset_on_close(self._socket)
 
     def _send(self, data: bytes) -> None:
-        self._socket.settimeout(WRITE_TIMEOUT_S)
         try:
-            self._socket.sendall(data)
+            send_all(self._socket, data, WRITE_STALL_TIMEOUT_S)
         except OSError as error:
             raise CallerDisconnected(str(error)) from error
 
@@ -107,6 +108,17 @@
 RequestHandler = Callable[[Caller, HttpRequest], None]
 
 
+def accept_waiting(server: StreamServer) -> None:
+    """Accept the connections that wait in a server's backlog, and close the server.
+
+    Closing it alone would reset them, although their callers see them as accepted.
+    """
+    server.stop_accepting()
+    while (accepted := server.do_read()) is not None:
+        server.do_handle(*accepted)
+    server.close()
+
+
 class Connection:
     """Serve the requests of one connection in sequence."""
 
@@ -127,6 +139,11 @@
         self._closing = False
         self.idle = True
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is being read or served."""
+        return not self.idle or self._reader.receiving
+
     def run(self) -> None:
         """Serve until either side closes."""
         configure_socket(self._socket)
@@ -148,10 +165,16 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request has begun on it."""
-        if self.idle and not self._reader.receiving:
+        if not self.is_busy:
             self._closing = True
             self._shut_down(socket.SHUT_RDWR)
 
+    def reset(self) -> None:
+        """Reset the connection, so that a partial answer cannot look complete."""
+        with contextlib.suppress(OSError):  # already closed
+            reset_on_close(self._socket)
+        self._socket.close()
+
     def _serve_watched(self, caller: Caller, request: HttpRequest) -> None:
         watcher = gevent.spawn(self._watch_for_disconnect, gevent.getcurrent())
         try:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -43,7 +43,7 @@
     encode_request,
 )
 
-SEND_TIMEOUT_S = 1.0  # the attempt fails if sending the request takes longer
+SEND_STALL_TIMEOUT_S = 1.0  # the attempt fails if the upstream reads nothing
 FIRST_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
@@ -210,7 +210,7 @@
         data = encode_request(
             http_request.method, http_request.target, headers, http_request.body
         )
-        connection.send(data, SEND_TIMEOUT_S)
+        connection.send(data, SEND_STALL_TIMEOUT_S)
         return True
 
     def _relay_answer(
@@ -244,12 +244,18 @@
     def _read_own_answer(
         self, connection: ClientConnection, request: Request, upstream: Upstream
     ) -> tuple[ResponseHead, AnswerFields]:
-        """Return the answer to this request; skip late answers to earlier requests."""
+        """Return the answer to this request; skip late answers to earlier requests.
+
+        On a connection that was used before, an answer without an id may be a late
+        copy of an earlier one.
+        """
         head_only = self._http_request.method == b"HEAD"
         while True:
             answer = connection.read_head(request.deadline_ms, head_request=head_only)
             fields = self._header_codec.answer_fields(answer)
             self._machine.record_answer(upstream, fields)
+            if fields.request_id is None and connection.was_used:
+                raise ConnectionBroken("an answer without an id on a used connection")
             if fields.request_id in (None, request.request_id):
                 return answer, fields
             connection.read_whole_body(request.deadline_ms)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -22,7 +22,7 @@
 
 REPORT_INTERVAL_MS = 100  # well below the time for which a request holds a slot
 HEARTBEAT_INTERVALS = 5  # an unchanged report is sent every fifth time
-MAX_DATAGRAM_BYTES = 8_192
+MAX_DATAGRAM_BYTES = 65_507
 PEER_TIMEOUT_MS = 30_000
 
 
@@ -45,9 +45,8 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind(address)
 
-    def run(self) -> None:
-        """Send and receive until killed."""
-        gevent.spawn(self._send_reports)
+    def receive(self) -> None:
+        """Receive reports until killed."""
         while True:
             try:
                 data, (host, _) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
@@ -71,7 +70,8 @@
             PeerReported(now_ms, host, report.in_flight, report.parts)
         )
 
-    def _send_reports(self) -> None:
+    def send(self) -> None:
+        """Send reports until killed."""
         last = None
         for number in count():
             gevent.sleep(REPORT_INTERVAL_MS / 1_000)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -22,7 +22,12 @@
     Upstream,
 )
 from nutmegslip_decisions.experts.rollout import IDENTITY_COUNT
-from nutmegslip_entry.direct._callers import Caller, Connection
+from nutmegslip_entry.direct._callers import (
+    Caller,
+    CallerDisconnected,
+    Connection,
+    accept_waiting,
+)
 from nutmegslip_entry.direct._exchange import Exchanges
 from nutmegslip_entry.direct._expert_maps import ExpertMapManager, RankClient
 from nutmegslip_entry.direct._header_codec import AnswerFields, HeaderCodec
@@ -39,6 +44,7 @@
 TICK_INTERVAL_S = 0.05  # a queued request is refused at most this late
 PACE_INTERVAL_S = 0.25  # two or three steps of a group
 HOUSEKEEPING_INTERVAL_S = 1.0
+TASK_RESTART_DELAY_S = 0.25
 LISTEN_BACKLOG = 512
 LEAVE_ROTATION_MS = 2_500  # balancers probe each second and remove after two failures
 STOP_MARGIN_MS = 500  # subtracted from the grace period, to exit before a kill
@@ -113,12 +119,16 @@
             gevent.signal_handler(number, self._stop_requested.set)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         tasks = [
-            gevent.spawn(self._feed.run),
-            gevent.spawn(self._peers.run),
-            gevent.spawn(self._tick),
-            gevent.spawn(self._expert_maps.run),
-            gevent.spawn(self._dispatch_paces),
-            gevent.spawn(self._run_housekeeping),
+            gevent.spawn(self._run_again_on_errors, task)
+            for task in (
+                self._feed.run,
+                self._peers.receive,
+                self._peers.send,
+                self._tick,
+                self._expert_maps.run,
+                self._dispatch_paces,
+                self._run_housekeeping,
+            )
         ]
         callers = self._listen(self._settings.callers, self._serve)
         self._listen(self._settings.ready, self._serve_ready)
@@ -131,6 +141,15 @@
         self._log.flush()
         return code
 
+    def _run_again_on_errors(self, task: Callable[[], None]) -> None:
+        """Run a task until killed; an unexpected error does not end it for good."""
+        while True:
+            try:
+                task()
+            except Exception as error:
+                self._log.emit_error("task-failed", error)
+            gevent.sleep(TASK_RESTART_DELAY_S)
+
     def _listen(
         self,
         address: tuple[str, int],
@@ -157,9 +176,14 @@
     def _serve(self, caller: Caller, request: HttpRequest) -> None:
         try:
             self._exchanges.serve(caller, request)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except CallerDisconnected:
+            raise
+        except Exception as error:
             self._log.emit_error("request-dropped", error)
-            caller.abort()
+            if caller.streaming:
+                caller.abort()
+            else:
+                caller.answer(502, [], b"")  # 502 does not say whether it has run
 
     def _serve_ready(self, caller: Caller, _request: HttpRequest) -> None:
         ready = direct.is_ready(self._machine.state) and not self._stopping
@@ -214,15 +238,21 @@
         self._log.flush()
         end_ms = boottime_ms() + self._settings.stop_grace_ms - STOP_MARGIN_MS
         gevent.sleep(LEAVE_ROTATION_MS / 1_000)
-        callers.stop_accepting()
+        accept_waiting(callers)
+        gevent.sleep(0)  # lets the accepted connections read what has arrived
         for connection in tuple(self._connections):
             connection.close_if_idle()
-        while self._machine.state.requests and boottime_ms() < end_ms:
+        while self._has_busy_callers() and boottime_ms() < end_ms:
             gevent.sleep(TICK_INTERVAL_S)
-        done = not self._machine.state.requests
+        done = not self._has_busy_callers()
+        for connection in tuple(self._connections):
+            connection.reset()
         self._log.emit("drained" if done else "drain-timed-out")
         return ExitCode.OK if done else ExitCode.DRAIN_TIMED_OUT
 
+    def _has_busy_callers(self) -> bool:
+        return any(connection.is_busy for connection in self._connections)
+
 
 def _modified_ns(file: str) -> int:
     try:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -82,7 +82,7 @@
     try:
         content = tomllib.loads(pathlib.Path(file).read_text(encoding="utf-8"))
         return Ok(_settings(msgspec.convert(content, _File)))
-    except (OSError, ValueError, msgspec.ValidationError) as error:
+    except (OSError, OverflowError, ValueError, msgspec.ValidationError) as error:
         return Error(SettingsError(file, str(error)))
 
 
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -231,6 +231,13 @@
         NO_REMEDY,
         ("part", "probes", "acquitted"),
     ),
+    EventKind(
+        2028,
+        "task-failed",
+        Level.ERROR,
+        "A background task failed unexpectedly; it is started again.",
+        "Report it as a bug, with this line and its traceback.",
+    ),
     EventKind(
         2101,
         "request-sent",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
@@ -22,7 +22,11 @@
     RequestFault,
     RequestReader,
 )
-from nutmegslip_runtime.http1._sockets import configure_socket, reset_on_close
+from nutmegslip_runtime.http1._sockets import (
+    configure_socket,
+    reset_on_close,
+    send_all,
+)
 
 __all__ = [
     "LAST_CHUNK",
@@ -43,4 +47,5 @@
     "encode_request",
     "end_to_end_headers",
     "reset_on_close",
+    "send_all",
 ]
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -9,7 +9,7 @@
 import httptools
 
 from nutmegslip_runtime.http1._encoding import Framing, Header
-from nutmegslip_runtime.http1._sockets import configure_socket
+from nutmegslip_runtime.http1._sockets import configure_socket, send_all
 
 READ_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
@@ -80,6 +80,11 @@
         configure_socket(sock)
         return cls(sock, clock)
 
+    @property
+    def was_used(self) -> bool:
+        """Return whether an earlier answer was read, so that copies of it may come."""
+        return self.idle_since_ms > 0
+
     @property
     def is_reusable(self) -> bool:
         """Return whether another request can be sent: nothing unread, still open."""
@@ -94,11 +99,10 @@
             return False
         return False
 
-    def send(self, data: bytes, timeout_s: float) -> None:
+    def send(self, data: bytes, stall_timeout_s: float) -> None:
         """Send a request; raise ConnectionBroken if it cannot be sent completely."""
-        self._socket.settimeout(timeout_s)
         try:
-            self._socket.sendall(data)
+            send_all(self._socket, data, stall_timeout_s)
         except TimeoutError as error:
             raise ConnectionTimedOut("the request could not be sent in time") from error
         except OSError as error:
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_sockets.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_sockets.py
@@ -17,6 +17,17 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
 
 
+def send_all(sock: socket.socket, data: bytes, stall_timeout_s: float) -> None:
+    """Send all bytes; raise TimeoutError if none is accepted for that long.
+
+    A peer that reads slowly but steadily never times out.
+    """
+    sock.settimeout(stall_timeout_s)
+    remaining = memoryview(data)
+    while remaining:
+        remaining = remaining[sock.send(remaining) :]
+
+
 def configure_socket(sock: socket.socket) -> None:
     """Send small writes immediately; fail within seconds when the peer is gone."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -67,8 +67,17 @@
 # Drawn apart from the others, so that the schedules of earlier seeds stay the same.
 _NOTICES = (Action.LEAVE, Action.PAUSE, Action.RESTORE)
 _OTHERS = tuple(action for action in Action if action not in _NOTICES)
+_LATER_FAULTS = (
+    Fault.CLOSE_CUT,
+    Fault.CLOSE_RESET,
+    Fault.COPY_LATE,
+    Fault.DRIP,
+    Fault.SLOW,
+)
 _RUNNER_FAULTS = tuple(
-    fault for fault in Fault if fault not in (Fault.NONE, Fault.PAUSE)
+    fault
+    for fault in Fault
+    if fault not in (Fault.NONE, Fault.PAUSE, Fault.CLOSE_EMPTY, *_LATER_FAULTS)
 )
 _LINK_FAULTS = tuple(link for link in LinkState if link is not LinkState.HEALTHY)
 
--- /dev/null
+++ b/tests/test_direct_failures.py
@@ -0,0 +1,219 @@
+"""Test failures that operators of similar systems met, over the wire.
+
+`docs/design/operators-failures.md` names for each the guard, and the change to the
+guard that turns its test red.
+"""
+
+import json
+import signal
+import unittest
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from bench.entry_process import ANSWER_TIMEOUT_MS
+from fakes.runners import Fault
+from nutmegslip_entry.direct import accept_waiting
+from nutmegslip_runtime.clock import boottime_ms
+from nutmegslip_runtime.http1 import encode_request, send_all
+from tests.test_direct_processes import DirectTestCase
+
+LEAVE_ROTATION_S = 2.6  # after a stop signal new connections are still accepted
+WHOLE = [f"id: {number}" for number in range(1, 7)]
+
+
+def event_ids(reply):
+    return [line for line in reply.body.decode().splitlines() if line.startswith("id:")]
+
+
+class EndOfAnswerTests(DirectTestCase):
+    """An answer that broke off halfway must not look complete."""
+
+    def test_streams_that_only_their_close_ends(self):
+        cases = (
+            (Fault.NO_LENGTH, WHOLE, True),
+            (Fault.CLOSE_EMPTY, [], True),
+            (Fault.CLOSE_CUT, WHOLE[:4], False),
+            (Fault.CLOSE_RESET, WHOLE[:4], False),
+            (Fault.CUT_EVENT, WHOLE[:4], False),
+        )
+        for fault, ids, complete in cases:
+            with self.subTest(fault=fault):
+                self.fail_all(fault)
+                reply = self.site.send("/verses/1", method="POST")
+                self.assertEqual((event_ids(reply), reply.complete), (ids, complete))
+
+    def test_a_stream_that_broke_off_resumes_elsewhere(self):
+        for fault in (Fault.CLOSE_CUT, Fault.CLOSE_RESET):
+            self.model[0].fault = fault
+            for number in range(4):
+                with self.subTest(fault=fault, number=number):
+                    reply = self.site.send("/verses/1", method="POST")
+                    self.assertEqual((event_ids(reply), reply.complete), (WHOLE, True))
+
+    def test_a_caller_of_http_1_0_sees_a_reset_in_place_of_the_end(self):
+        request = encode_request(
+            b"POST", b"/verses/1", self.site.request_headers(), b""
+        ).replace(b"HTTP/1.1", b"HTTP/1.0")
+        self.assertTrue(self.site.send_raw(request).endswith(b" 6\n\n"))
+        self.fail_all(Fault.CLOSE_CUT)
+        with self.assertRaises(ConnectionResetError):
+            self.site.send_raw(request)
+
+    def test_a_caller_keeps_its_connection_after_such_an_answer(self):
+        connection = self.site.entry.connect()
+        for fault in (Fault.NO_LENGTH, Fault.NONE):
+            self.fail_all(fault)
+            for target in (b"/lookups/1", b"/verses/1", b"/pushes/1"):
+                with self.subTest(fault=fault, target=target):
+                    headers = self.site.request_headers()
+                    request = encode_request(b"POST", target, headers, b"")
+                    deadline_ms = boottime_ms() + ANSWER_TIMEOUT_MS
+                    head, body = connection.exchange(request, deadline_ms)
+                    self.assertEqual((head.status, head.keep_alive), (200, True))
+                    self.assertTrue(body)
+        connection.close()
+
+
+class LateCopyTests(DirectTestCase):
+    """A late second copy of an answer must not reach the next caller."""
+
+    def test_a_copy_without_an_id_is_not_taken_for_the_next_answer(self):
+        self.fail_all(Fault.COPY_LATE)
+        for number in range(8):
+            name = f"copy-{number}"
+            reply = self.site.send("/lookups/1", request_id=name)
+            with self.subTest(number=number, status=reply.status):
+                self.assertNotEqual(reply.body, b"late")
+                if reply.status == 200:
+                    self.assertEqual(reply.body, f"answer to {name}".encode())
+
+
+class StreamTimerTests(DirectTestCase):
+    """Slow but sound streams end whole; stalled ones end at the deadline."""
+
+    def test_a_stream_slower_than_any_gap_bound_is_not_cut(self):
+        self.fail_all(Fault.SLOW)
+        for runner in self.model:
+            runner.events = 4
+        reply = self.site.send("/verses/1", method="POST")
+        self.assertEqual((event_ids(reply), reply.complete), (WHOLE[:4], True))
+
+    def test_a_stalled_stream_that_drips_bytes_ends_at_its_deadline(self):
+        self.fail_all(Fault.DRIP)
+        started_ms = boottime_ms()
+        reply = self.site.send("/verses/1", method="POST")
+        self.assertEqual((event_ids(reply), reply.complete), (WHOLE[:2], False))
+        self.assertLess(boottime_ms() - started_ms, 3_500)
+
+    def test_a_caller_that_reads_slowly_gets_the_whole_answer(self):
+        """Guard against one time limit for a large write as a whole."""
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        reader = socket.socket()
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        reader.connect(listener.getsockname())
+        writer, _ = listener.accept()
+        writer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        data = bytes(300_000)
+        sending = gevent.spawn(send_all, writer, data, 0.15)
+        received = 0
+        while received < len(data):
+            received += len(reader.recv(16_384))
+            gevent.sleep(0.02)
+        sending.get(timeout=1)
+        stalled = gevent.spawn(send_all, writer, data, 0.15)
+        self.assertRaises(TimeoutError, stalled.get, timeout=2)
+
+
+class PlannedStopTests(DirectTestCase):
+    """A planned stop cuts off no request that an entry has accepted."""
+
+    def test_a_request_whose_bytes_still_arrive_is_answered(self):
+        connection = self.site.entry.connect()
+        headers = self.site.request_headers("late-bytes")
+        request = encode_request(b"POST", b"/lookups/1", headers, b"x" * 100)
+        connection.send(request[:-50], 1.0)
+        self.site.entry.signal(signal.SIGTERM)
+        gevent.sleep(LEAVE_ROTATION_S + 0.2)
+        connection.send(request[-50:], 1.0)
+        head = connection.read_head(boottime_ms() + ANSWER_TIMEOUT_MS)
+        body = connection.read_whole_body(boottime_ms() + ANSWER_TIMEOUT_MS)
+        self.assertEqual((head.status, body), (200, b"answer to late-bytes"))
+        self.assertEqual(self.site.entry.wait_exit(8), 0)
+
+    def test_connections_in_the_backlog_are_served(self):
+        served = []
+
+        def serve(sock, _address):
+            served.append(sock.recv(1))
+            sock.sendall(b"y")
+            sock.close()
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        server.stop_accepting()
+        callers = [
+            socket.create_connection(("127.0.0.1", server.server_port))
+            for _ in range(5)
+        ]
+        for caller in callers:
+            caller.sendall(b"x")
+        accept_waiting(server)
+        self.assertEqual([caller.recv(1) for caller in callers], [b"y"] * 5)
+        self.assertEqual(served, [b"x"] * 5)
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", server.server_port))
+
+
+class MalformedMessageTests(DirectTestCase):
+    """A malformed message ends at most the request that it belongs to."""
+
+    def test_an_entry_survives_malformed_messages(self):
+        entry = self.site.entry
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in (b"", b"\xff", b"\x83\xa0\x80\x01", b"\x81" * 5_000):
+                sender.sendto(data, (entry.ip, entry.ports.peers))
+        put = self.site.store.history.put
+        record = self.site.runners["b1"].registration("board")
+        put("servers/x1", record | {"address": "127.0.0.1:99999"})
+        put("servers/x2", record | {"address": "127.0.0.1:²"})
+        put("servers/x3", record | {"group": {"name": "g"}})
+        put("servers/x4", b"[" * 50_000)
+        put("op/evacuate/", {})
+        gevent.sleep(0.5)
+        for target in ("/lookups/1", "/pushes/1", "/verses/1"):
+            for _ in range(6):
+                reply = self.site.send(target, method="POST")
+                self.assertEqual((reply.status, reply.complete), (200, True))
+        self.assertTrue(entry.is_running)
+        gevent.sleep(1.2)
+        self.assertIn('"peer-report-refused"', entry.log.read_text())
+
+    def test_settings_that_cannot_be_read_stay_out(self):
+        file = self.site.entry.settings
+        good = file.read_text()
+        bad = (
+            "",
+            "[process",
+            good.replace("[bounds]", "[bounds]\nstop_grace_s = inf"),
+            "\0",
+        )
+        for text in bad:
+            with self.subTest(text=text[:20]):
+                file.write_text(text)
+                self.site.entry.signal(signal.SIGHUP)
+                gevent.sleep(0.2)
+                self.assertEqual(self.site.send("/lookups/1").status, 200)
+        file.write_text(good)
+        gevent.sleep(1.2)
+        lines = [json.loads(t) for t in self.site.entry.log.read_text().splitlines()]
+        events = {line["event"] for line in lines}
+        self.assertIn("settings-refused", events)
+        self.assertNotIn("task-failed", events)
+
+
+if __name__ == "__main__":
+    unittest.main()
