--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -33,6 +33,12 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._leadership import (
+    Tenure,
+    highest_fence,
+    next_tenure,
+    standing_of,
+)
 from nutmegslip_decisions.direct._options import Options
 from nutmegslip_decisions.direct._part_evidence import Blame, Crash, PartReport
 from nutmegslip_decisions.direct._pauses import is_paused
@@ -56,6 +62,7 @@
     RequestLimits,
     Route,
     Service,
+    Standing,
     Target,
     Upstream,
 )
@@ -98,12 +105,14 @@
     "Route",
     "Send",
     "Service",
+    "Standing",
     "State",
     "StoreLost",
     "StorePosition",
     "StoreReached",
     "StoreRestored",
     "Target",
+    "Tenure",
     "Tick",
     "Upstream",
     "UpstreamLeaving",
@@ -113,10 +122,13 @@
     "Verdict",
     "ZonesOut",
     "fresh_peers",
+    "highest_fence",
     "is_paused",
     "is_ready",
     "judge",
     "load_report",
+    "next_tenure",
     "part_report",
     "reduce",
+    "standing_of",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -11,11 +11,13 @@
     CallerRequest,
     Configuration,
     Request,
+    Standing,
     Upstream,
 )
 from nutmegslip_decisions.model import Millis
 
 _NO_PARTS = PartReport()
+_NO_STANDING = Standing()
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +127,7 @@
     peer: str
     in_flight: Map[str, int]
     parts: PartReport = _NO_PARTS
+    standing: Standing = _NO_STANDING
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -7,7 +7,6 @@
 
 from immutables import Map
 
-from nutmegslip_decisions.direct._part_evidence import PartReport
 from nutmegslip_decisions.direct._state import PeerReport, State
 from nutmegslip_decisions.model import Millis
 
@@ -15,19 +14,13 @@
 EXPIRE_AFTER_MS = 10_000  # its share of the limits then goes to the others
 
 
-def with_report(
-    state: State,
-    peer: str,
-    in_flight: Map[str, int],
-    parts: PartReport,
-    now_ms: Millis,
-) -> State:
+def with_report(state: State, peer: str, report: PeerReport) -> State:
     """Replace the last report of a peer."""
     old = state.peers.get(peer)
     peer_in_flight = _with_counts_replaced(
-        state.peer_in_flight, old.in_flight if old else Map(), in_flight
+        state.peer_in_flight, old.in_flight if old else Map(), report.in_flight
     )
-    peers = state.peers.set(peer, PeerReport(now_ms, in_flight, parts))
+    peers = state.peers.set(peer, report)
     return state._replace(peers=peers, peer_in_flight=peer_in_flight)
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -64,7 +64,7 @@
     refuse_unadmitted,
     without_unadmitted,
 )
-from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._state import PeerReport, State
 from nutmegslip_decisions.model import Millis
 
 
@@ -86,9 +86,10 @@
             return finish(state, ticket, answered, now_ms)
         case Tick(now_ms):
             return _tick(state, now_ms)
-        case PeerReported(now_ms, peer, in_flight, parts):
+        case PeerReported(now_ms, peer, in_flight, parts, standing):
             old = state.peers.get(peer)
-            state = with_report(state, peer, in_flight, parts, now_ms)
+            report = PeerReport(now_ms, in_flight, parts, standing)
+            state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
             return dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -11,6 +11,7 @@
     CallerRequest,
     Configuration,
     Request,
+    Standing,
     Upstream,
 )
 from nutmegslip_decisions.direct._windows import Window
@@ -44,6 +45,7 @@
     received_ms: Millis
     in_flight: Map[str, int]
     parts: PartReport = PartReport()
+    standing: Standing = Standing()
 
 
 class ServiceLoad(NamedTuple):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -155,6 +155,17 @@
         return "" if self.rank is None else self.rank.group
 
 
+class Standing(NamedTuple):
+    """Whether an entry changes expert maps, or may be the next to do so.
+
+    ``fence`` is the highest fencing number that it has used.
+    """
+
+    leads: bool = False
+    may_lead: bool = False
+    fence: int = 0
+
+
 class CallerRequest(NamedTuple):
     """A request as received from a caller, before admission.
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -92,7 +92,10 @@
             return next_state, (*effects, *more)
         case Tick(now_ms, is_leader, fence):
             return _on_tick(
-                state._replace(is_leader=is_leader, latest_fence=fence), now_ms
+                state._replace(
+                    is_leader=is_leader, latest_fence=max(state.latest_fence, fence)
+                ),
+                now_ms,
             )
 
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -1,7 +1,7 @@
 """Adapt the expert maps of groups to the load of their experts.
 
-The leader is the entry with the lowest address among those with recent reports. It
-samples how often experts are chosen, on some ranks only, as each read costs the group.
+The leading entry samples how often experts are chosen, on some ranks only, as each
+read costs the group.
 """
 
 import itertools
@@ -12,10 +12,14 @@
 
 from nutmegslip_decisions.direct import (
     ExpertLayout,
+    Standing,
     StorePosition,
+    Tenure,
     Upstream,
-    fresh_peers,
+    highest_fence,
     is_paused,
+    next_tenure,
+    standing_of,
 )
 from nutmegslip_decisions.experts import rollout
 from nutmegslip_decisions.experts.rollout import (
@@ -43,8 +47,6 @@
 ROLLOUT_INTERVAL_S = 0.1
 COUNTS_INTERVAL_MS = 1_500  # expert load shifts last several seconds
 SAMPLED_RANKS = 2  # a sixth of a group of 12; the others have a similar load
-LEADER_TIMEOUT_MS = 900  # heartbeats come every 500 ms; two leaders are harmless
-PEER_DISCOVERY_MS = 2_500  # a new process first waits for reports of its peers
 PREVIOUS_LOADS_SHARE = 0.3  # weight of earlier loads, to smooth out single requests
 
 
@@ -88,37 +90,45 @@
         self,
         machine: StateMachine,
         rank_client: RankClient,
-        address: str,
+        is_stopping: Callable[[], bool],
         identity: int,
         position: Callable[[], StorePosition],
         log: RateLimitedLog,
     ) -> None:
         self._machine = machine
         self._rank_client = rank_client
-        self._address = address
+        self._is_stopping = is_stopping
         self._identity = identity
         self._position = position
         self._log = log
         self._rollouts: dict[str, rollout.State] = {}
         self._members: dict[str, dict[str, Upstream]] = {}
-        self._started_ms = machine.clock()
+        self._tenure = Tenure()
         self._last_sampled_ms = 0
         self._counts: dict[str, ExpertCounts] = {}
         self._loads: dict[str, list[float]] = {}
 
+    @property
+    def standing(self) -> Standing:
+        """Return what this entry reports of its leadership."""
+        now_ms = self._machine.clock()
+        fence = max((state.fence for state in self._rollouts.values()), default=0)
+        return standing_of(
+            self._tenure, stopping=self._is_stopping(), fence=fence, now_ms=now_ms
+        )
+
     def run(self) -> None:
         """Drive the rollouts until killed."""
         while True:
             gevent.sleep(ROLLOUT_INTERVAL_S)
             now_ms = self._machine.clock()
-            is_leader = self._is_leader(now_ms)
+            is_leader = self._check_leadership(now_ms)
             sample_due = (
                 is_leader and now_ms >= self._last_sampled_ms + COUNTS_INTERVAL_MS
             )
             if sample_due:
                 self._last_sampled_ms = now_ms
-            order = self._position().order
-            fence = order * rollout.IDENTITY_COUNT + self._identity
+            fence = self._next_fence()
             for name, layout, group in self._groups():
                 if name not in self._rollouts:
                     options = rollout.Options(
@@ -130,11 +140,26 @@
                 if sample_due and group is not None and self._is_settled(group, now_ms):
                     gevent.spawn(self._sample_loads, name, group, layout)
 
-    def _is_leader(self, now_ms: int) -> bool:
-        if now_ms < self._started_ms + PEER_DISCOVERY_MS:
-            return False
-        peers = fresh_peers(self._machine.state, now_ms, LEADER_TIMEOUT_MS)
-        return all(_address_key(self._address) < _address_key(peer) for peer in peers)
+    def _check_leadership(self, now_ms: int) -> bool:
+        """Return whether this entry may begin changes."""
+        busy = any(
+            not isinstance(state.phase, Idle) for state in self._rollouts.values()
+        )
+        stopping = self._is_stopping()
+        self._tenure = next_tenure(
+            self._machine.state,
+            self._tenure,
+            stopping=stopping,
+            busy=busy,
+            now_ms=now_ms,
+        )
+        return self._tenure.leads and not stopping
+
+    def _next_fence(self) -> int:
+        """Return a fencing number above those that the peers have used."""
+        used = highest_fence(self._machine.state) // rollout.IDENTITY_COUNT + 1
+        order = max(self._position().order, used)
+        return order * rollout.IDENTITY_COUNT + self._identity
 
     def _is_settled(self, group: Group, now_ms: int) -> bool:
         """Return whether a change of the group's map can last.
@@ -287,7 +312,3 @@
         and numbers == list(range(ranks[0].rank.size))
     )
     return Group(name, epochs.pop(), tuple(u.id for u in ranks)) if complete else None
-
-
-def _address_key(address: str) -> tuple[int, ...]:
-    return tuple(int(part) for part in address.split("."))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -11,7 +11,12 @@
 from gevent import socket
 from immutables import Map
 
-from nutmegslip_decisions.direct import PeerReported, load_report, part_report
+from nutmegslip_decisions.direct import (
+    PeerReported,
+    Standing,
+    load_report,
+    part_report,
+)
 from nutmegslip_entry.direct._reports import (
     Report,
     ReportError,
@@ -34,11 +39,13 @@
         machine: StateMachine,
         address: tuple[str, int],
         seeds: Callable[[], tuple[str, ...]],
+        standing: Callable[[], Standing],
         log_failure: Callable[[str], None],
     ) -> None:
         self._machine = machine
         self._address = address
         self._seeds = seeds
+        self._standing = standing
         self._log_failure = log_failure
         self._last_received_ms: dict[str, int] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -67,7 +74,7 @@
         for peer in report.peers:
             self._last_received_ms.setdefault(peer, now_ms - PEER_TIMEOUT_MS // 2)
         self._machine.dispatch(
-            PeerReported(now_ms, host, report.in_flight, report.parts)
+            PeerReported(now_ms, host, report.in_flight, report.parts, report.standing)
         )
 
     def send(self) -> None:
@@ -77,12 +84,16 @@
             gevent.sleep(REPORT_INTERVAL_MS / 1_000)
             now_ms = self._machine.clock()
             state = self._machine.state
-            current = load_report(state), part_report(state)
-            if current == last and number % HEARTBEAT_INTERVALS:
+            standing = self._standing()
+            current = load_report(state), part_report(state), standing
+            unchanged = current == last and not standing.leads
+            if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
             last = current
-            in_flight, parts = current
-            report = Report(Map(in_flight), tuple(self._last_received_ms), parts)
+            in_flight, parts, _ = current
+            report = Report(
+                Map(in_flight), tuple(self._last_received_ms), parts, standing
+            )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
                 self._send(host, data)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -97,6 +97,7 @@
             self._machine,
             settings.peers,
             lambda: self._settings.seeds,
+            lambda: self._expert_maps.standing,
             lambda reason: self._log.emit("peer-report-refused", reason=reason),
         )
         self._expert_maps = ExpertMapManager(
@@ -104,7 +105,7 @@
             make_rank_client(
                 self._pool, boottime_ms, self._log, self._machine.record_answer
             ),
-            settings.peers[0],
+            lambda: self._stopping,
             secrets.randbelow(IDENTITY_COUNT - 1) + 1,
             lambda: self._feed.position,
             self._log,
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -8,7 +8,7 @@
 import cbor2
 from immutables import Map
 
-from nutmegslip_decisions.direct import Blame, Crash, PartReport
+from nutmegslip_decisions.direct import Blame, Crash, PartReport, Standing
 from nutmegslip_decisions.model import Millis
 
 
@@ -22,6 +22,7 @@
     in_flight: Map[str, int]
     peers: tuple[str, ...]
     parts: PartReport = PartReport()
+    standing: Standing = Standing()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -39,18 +40,19 @@
             for part, blame in parts.blames.items()
         },
     ]
-    encoded = [dict(report.in_flight), list(report.peers)]
+    encoded = [dict(report.in_flight), list(report.peers), list(report.standing)]
     return cbor2.dumps([*encoded, fields] if any(fields) else encoded)
 
 
 def decode_report(data: bytes, now_ms: Millis) -> Report:
     """Return the report in a datagram; raise ReportError if there is none."""
     try:
-        in_flight, peers, *more = cbor2.loads(data)
+        in_flight, peers, (leads, may_lead, fence), *more = cbor2.loads(data)
         return Report(
             Map({str(key): int(count) for key, count in in_flight.items()}),
             tuple(str(peer) for peer in peers),
             _decode_parts(*more[0], now_ms) if more else PartReport(),
+            Standing(bool(leads), bool(may_lead), int(fence)),
         )
     except (
         cbor2.CBORDecodeError,
