Plan expert maps from the difference of two reads only

Cause: a new leader planned from the counts since the ranks' start, and its next plans held three tenths of these; so its first maps fitted what had been popular long ago.

What: the first read is a baseline; the second follows after 0.6 s. Counts of an earlier term of office are dropped.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -4,7 +4,6 @@
 read costs the group.
 """
 
-import itertools
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
 
@@ -46,6 +45,7 @@
 
 ROLLOUT_INTERVAL_S = 0.1
 COUNTS_INTERVAL_MS = 1_500  # expert load shifts last several seconds
+FIRST_COUNTS_INTERVAL_MS = 600  # about ten passes
 SAMPLED_RANKS = 2  # a sixth of a group of 12; the others have a similar load
 PREVIOUS_LOADS_SHARE = 0.3  # weight of earlier loads, to smooth out single requests
 
@@ -104,7 +104,7 @@
         self._rollouts: dict[str, rollout.State] = {}
         self._members: dict[str, dict[str, Upstream]] = {}
         self._tenure = Tenure()
-        self._last_sampled_ms = 0
+        self._next_sample_ms = 0
         self._counts: dict[str, ExpertCounts] = {}
         self._loads: dict[str, list[float]] = {}
 
@@ -123,11 +123,11 @@
             gevent.sleep(ROLLOUT_INTERVAL_S)
             now_ms = self._machine.clock()
             is_leader = self._check_leadership(now_ms)
-            sample_due = (
-                is_leader and now_ms >= self._last_sampled_ms + COUNTS_INTERVAL_MS
-            )
+            sample_due = is_leader and now_ms >= self._next_sample_ms
             if sample_due:
-                self._last_sampled_ms = now_ms
+                first = not self._counts
+                interval_ms = FIRST_COUNTS_INTERVAL_MS if first else COUNTS_INTERVAL_MS
+                self._next_sample_ms = now_ms + interval_ms
             fence = self._next_fence()
             for name, layout, group in self._groups():
                 if name not in self._rollouts:
@@ -146,6 +146,7 @@
             not isinstance(state.phase, Idle) for state in self._rollouts.values()
         )
         stopping = self._is_stopping()
+        led = self._tenure.leads
         self._tenure = next_tenure(
             self._machine.state,
             self._tenure,
@@ -153,6 +154,10 @@
             busy=busy,
             now_ms=now_ms,
         )
+        if self._tenure.leads and not led:
+            # Counts of an earlier term would mix in what was popular long ago.
+            self._counts.clear()
+            self._loads.clear()
         return self._tenure.leads and not stopping
 
     def _next_fence(self) -> int:
@@ -281,11 +286,10 @@
                 continue
             last = self._counts.get(rank.id)
             self._counts[rank.id] = counts
-            # A restarted rank counts from zero.
-            same_epoch = last is not None and last.epoch == counts.epoch
-            before = last.chosen if same_epoch else itertools.repeat(0.0)
+            if last is None or last.epoch != counts.epoch:
+                continue  # counts since the start of a rank say little of the present
             for index, (new, old) in enumerate(
-                zip(counts.chosen, before, strict=False)
+                zip(counts.chosen, last.chosen, strict=True)
             ):
                 recent[index] += max(new - old, 0.0)
         if not any(recent):
