Switch expert maps a few passes ahead, by the measured time of a pass

A change took 1.9 s, 1.2 s of it twelve passes of lead.

What: the pass of the switch follows from the time of a pass, the age of the reports and their published lag; a hold that comes too late is tried again for a later pass. Orders go out as soon as loads are measured; while ranks copy, only those not known as prepared are read.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -61,12 +61,14 @@
     """The sizes of a model's expert layers; ``places`` and ``spare`` are per rank.
 
     ``spare`` is how many experts may be added to a rank in one change of the map.
+    ``report_lag_ms`` is how old what a rank reports is.
     """
 
     layers: int
     experts: int
     places: int
     spare: int
+    report_lag_ms: float = 300.0
 
 
 class EngineModel(NamedTuple):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -34,6 +34,8 @@
 
 PREPARE_RETRY_MS = 2_000  # before an accepted prepare is sent again
 FENCE_MARGIN_REVISIONS = 100_000  # store revisions; no entry lags that far behind
+MAX_MISSED_PASSES = 3  # whose hold is tried again for a later pass
+MISSED_LEAD_PASSES = 4
 SETTLE_MS = 1_000  # twice the lag of reports
 
 
@@ -88,8 +90,14 @@
 
 
 def _on_held(state: State, phase: Holding, done: bool, now_ms: Millis) -> Transition:
+    is_own = phase.layout is not None
+    if not done and is_own and phase.missed < MAX_MISSED_PASSES:
+        later = replace(
+            phase, step=phase.step + MISSED_LEAD_PASSES, missed=phase.missed + 1
+        )
+        return enter_phase(state, later), ()
     if not done:
-        # The pass has begun, or another one is held: wait for new reports.
+        # Another pass is held: wait for new reports.
         return abandon(state, phase.version, "hold refused", now_ms)
     arming = Arming(
         phase.version,
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -8,12 +8,15 @@
 otherwise.
 """
 
+import math
+
 from immutables import Map
 
 from nutmegslip_decisions.experts.placement import plan_even_shares
 from nutmegslip_decisions.experts.rollout._orders import unconfirmed_orders
 from nutmegslip_decisions.experts.rollout._outcomes import SETTLE_MS, on_outcome
 from nutmegslip_decisions.experts.rollout._phases import (
+    MAX_REPORT_AGE_MS,
     Transition,
     abandon,
     enter_phase,
@@ -40,6 +43,7 @@
     Loads,
     LoadsMeasured,
     OrderOutcome,
+    RankReport,
     ReadLayout,
     ReadReports,
     ReportReceived,
@@ -51,7 +55,11 @@
 ORDER_RETRY_MS = 300  # ranks answer within some ms unless an order is lost
 CHANGE_REPORT_INTERVAL_MS = 250  # reports lag about as much
 IDLE_REPORT_INTERVAL_MS = 1_000  # also finds a pass that another process left held
-SWITCH_LEAD_PASSES = 12  # reports lag some passes; confirmations take some ms
+PREPARE_REPORT_INTERVAL_MS = 100  # only of the ranks that are not known as prepared
+FIRST_PREPARED_MS = 200  # from the order; copying and the lag of reports take longer
+MAX_SWITCH_LEAD_PASSES = 12  # also while the time of a pass is unknown
+MIN_SWITCH_LEAD_PASSES = 2  # the order to hold takes some ms
+PASS_SMOOTHING = 0.5  # weight of a new measurement
 PREPARE_TIMEOUT_MS = 6_000
 CHANGE_TIMEOUT_MS = 10_000  # includes a second for the switch and late orders
 CHANGE_INTERVAL_MS = 300  # between two changes
@@ -75,14 +83,16 @@
         case ReportReceived(now_ms, rank, report):
             if state.group is None or report.epoch != state.group.epoch:
                 return state, ()
-            reports = state.reports.set(rank, (now_ms, report))
-            return state._replace(reports=reports), ()
+            return _with_report(state, rank, report, now_ms), ()
         case LayoutRead(_, epoch, version, layout):
             if state.group is None or epoch != state.group.epoch:
                 return state, ()
             return state._replace(layout=layout, layout_version=version), ()
         case LoadsMeasured(now_ms, loads):
-            return _begin_change(state, loads, now_ms), ()
+            next_state = _begin_change(state, loads, now_ms)
+            if next_state is state:
+                return state, ()
+            return _advance_and_send(next_state, now_ms)
         case OrderOutcome(now_ms):
             next_state, effects = on_outcome(state, event)
             if next_state.group is None or next_state.phase is state.phase:
@@ -128,11 +138,8 @@
         return state, ()
     effects: list[Effect] = []
     is_idle = isinstance(state.phase, Idle)
-    interval_ms = IDLE_REPORT_INTERVAL_MS if is_idle else CHANGE_REPORT_INTERVAL_MS
-    if (
-        state.is_leader or not is_idle
-    ) and now_ms >= state.reports_requested_ms + interval_ms:
-        effects.append(ReadReports(state.group))
+    if (state.is_leader or not is_idle) and now_ms >= _reports_due_ms(state):
+        effects.append(ReadReports(_unreported_ranks(state, now_ms)))
         if is_idle and state.layout is None:
             effects.append(ReadLayout(state.group))
         state = state._replace(reports_requested_ms=now_ms)
@@ -140,6 +147,56 @@
     return state, (*effects, *more)
 
 
+def _with_report(state: State, rank: str, report: RankReport, now_ms: Millis) -> State:
+    """Store a report, and measure the time of a pass since the one before."""
+    old = state.reports.get(rank)
+    pass_ms = state.pass_ms
+    if old is not None and report.step > old[1].step:
+        measured_ms = (now_ms - old[0]) / (report.step - old[1].step)
+        pass_ms += PASS_SMOOTHING * (measured_ms - pass_ms) if pass_ms else measured_ms
+    return state._replace(
+        reports=state.reports.set(rank, (now_ms, report)), pass_ms=pass_ms
+    )
+
+
+def _reports_due_ms(state: State) -> Millis:
+    """Return when reports are to be read again."""
+    match state.phase:
+        case Idle():
+            return state.reports_requested_ms + IDLE_REPORT_INTERVAL_MS
+        case Preparing(since_ms=since_ms):
+            return max(
+                since_ms + FIRST_PREPARED_MS,
+                state.reports_requested_ms + PREPARE_REPORT_INTERVAL_MS,
+            )
+        case _:
+            return state.reports_requested_ms + CHANGE_REPORT_INTERVAL_MS
+
+
+def _unreported_ranks(state: State, now_ms: Millis) -> tuple[str, ...]:
+    """Return the ranks whose reports are needed; prepared ones stay prepared."""
+    if not isinstance(state.phase, Preparing):
+        return state.group.ranks
+    fresh = {
+        rank
+        for rank, (read_ms, report) in state.reports.items()
+        if report.prepared == state.phase.version
+        and now_ms < read_ms + MAX_REPORT_AGE_MS // 2
+    }
+    return tuple(rank for rank in state.group.ranks if rank not in fresh)
+
+
+def _switch_step(state: State, now_ms: Millis) -> int:
+    """Return the first pass that has surely not begun when a hold of it arrives."""
+    reports = [state.reports[rank] for rank in state.group.ranks]
+    read_ms, report = max(reports, key=lambda item: item[1].step)
+    lead = MAX_SWITCH_LEAD_PASSES
+    if state.pass_ms:
+        age_ms = now_ms - read_ms + state.options.report_lag_ms
+        lead = math.ceil(age_ms / state.pass_ms) + MIN_SWITCH_LEAD_PASSES
+    return report.step + min(lead, MAX_SWITCH_LEAD_PASSES)
+
+
 def _advance_and_send(state: State, now_ms: Millis) -> Transition:
     """Leave the phase if it is complete, and send the orders that are due."""
     state, logged = _advance(state, now_ms)
@@ -166,7 +223,7 @@
             reports = fresh_reports(state, now_ms)
             if reports is None or any(r.prepared != version for r in reports):
                 return state, ()
-            step = max(report.step for report in reports) + SWITCH_LEAD_PASSES
+            step = _switch_step(state, now_ms)
             holder = state.group.ranks[0]
             holding = Holding(version, layout, gain, since_ms, holder, step)
             return enter_phase(state, holding), ()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -15,11 +15,13 @@
     ``identity`` is below ``IDENTITY_COUNT`` and unique among processes, so that no two
     give the same version to different maps. ``places`` is the number of experts that a
     rank can hold, ``spare`` how many may be new to it in one change.
+    ``report_lag_ms`` is how old a rank's report is when it is read.
     """
 
     identity: int
     places: int
     spare: int
+    report_lag_ms: float = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +45,8 @@
 class Holding:
     """All ranks are prepared; ``holder`` is ordered to hold the pass of the switch.
 
-    ``layout`` is None where another process began the change.
+    ``layout`` is None where another process began the change. ``missed`` counts the
+    passes that had begun before their hold arrived.
     """
 
     version: int
@@ -52,6 +55,7 @@
     since_ms: Millis
     holder: str
     step: int
+    missed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +113,7 @@
     to a later time while a rank copies, to delay the retry. ``fence`` is the fencing
     number of the change: a process that begins later has a higher one, and a rank
     refuses orders with a lower one than it has seen. ``fence_floor`` is above the last
-    fence that was refused.
+    fence that was refused. ``pass_ms`` is the mean time of a pass, 0 if unknown.
     """
 
     options: Options
@@ -125,3 +129,4 @@
     fence_floor: int = 0
     is_leader: bool = False
     reports_requested_ms: Millis = 0
+    pass_ms: float = 0.0
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -162,9 +162,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadReports:
-    """A request to every rank for its report."""
+    """A request to ranks for their reports."""
 
-    group: Group
+    ranks: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -132,7 +132,10 @@
             for name, layout, group in self._groups():
                 if name not in self._rollouts:
                     options = rollout.Options(
-                        self._identity, layout.places, layout.spare
+                        self._identity,
+                        layout.places,
+                        layout.spare,
+                        layout.report_lag_ms,
                     )
                     self._rollouts[name] = rollout.State(options)
                 self._dispatch(name, GroupUpdated(now_ms, group))
@@ -214,9 +217,9 @@
         match effect:
             case SendOrder(rank):
                 gevent.spawn(self._send_order, name, self._members[name][rank], effect)
-            case ReadReports(group):
-                for rank in self._ranks_of(group):
-                    gevent.spawn(self._read_report, name, rank)
+            case ReadReports(ranks):
+                for rank in ranks:
+                    gevent.spawn(self._read_report, name, self._members[name][rank])
             case ReadLayout(group):
                 gevent.spawn(self._read_layout, name, self._ranks_of(group))
             case ChangeCompleted(version, took_ms, gain):
