--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -157,6 +157,8 @@
             busy=busy,
             now_ms=now_ms,
         )
+        if self._tenure.leads != led:
+            self._log.emit("map-leader-changed", leads=self._tenure.leads)
         if self._tenure.leads and not led:
             # Counts of an earlier term would mix in what was popular long ago.
             self._counts.clear()
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -238,6 +238,14 @@
         "A background task failed unexpectedly; it is started again.",
         "Report it as a bug, with this line and its traceback.",
     ),
+    EventKind(
+        2029,
+        "map-leader-changed",
+        Level.INFO,
+        "This entry begins to change expert maps, or leaves that to another one.",
+        "If leaders change often, look for entries that restart or lose contact.",
+        ("leads",),
+    ),
     EventKind(
         2101,
         "request-sent",
