Take over a held pass with a fence above that of its holder

Cause: a successor with a lower fence was refused first, abandoned the takeover and waited for a second while the group stood still.

What: a takeover begins at a fence 100,000 revisions above; eligible after 0.8 s in place of 1.1 s.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
@@ -13,7 +13,7 @@
 from nutmegslip_decisions.model import Millis
 
 LEADER_TIMEOUT_MS = 700  # reports come each 100 ms, or each 500 ms while all is quiet
-DISCOVERY_MS = 1_100  # from the start, to hear each peer twice
+DISCOVERY_MS = 800  # from the start, to hear each peer once
 
 
 class Tenure(NamedTuple):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -5,6 +5,7 @@
 from immutables import Map
 
 from nutmegslip_decisions.experts.rollout._phases import (
+    FENCE_MARGIN_REVISIONS,
     IDENTITY_COUNT,
     Transition,
     abandon,
@@ -33,7 +34,6 @@
 from nutmegslip_decisions.model import Millis
 
 PREPARE_RETRY_MS = 2_000  # before an accepted prepare is sent again
-FENCE_MARGIN_REVISIONS = 100_000  # store revisions; no entry lags that far behind
 MAX_MISSED_PASSES = 3  # whose hold is tried again for a later pass
 MISSED_LEAD_PASSES = 4
 SETTLE_MS = 1_000  # twice the lag of reports
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
@@ -15,6 +15,7 @@
 IDENTITY_COUNT = 65_536
 MAX_REPORT_AGE_MS = 1_400  # covers one missed report while idle
 BACKOFF_MS = 2_000  # after an abandoned change
+FENCE_MARGIN_REVISIONS = 100_000  # store revisions; no entry lags that far behind
 
 
 def start_change(state: State, phase: Phase) -> State:
@@ -23,6 +24,16 @@
     return enter_phase(state._replace(fence=fence), phase)
 
 
+def take_over(state: State, phase: Phase) -> State:
+    """Continue a change of another process with a fence above its own.
+
+    The group stands still meanwhile, so no refusal for a low fence is waited for.
+    """
+    latest = max(state.latest_fence, state.fence_floor)
+    fence = latest + FENCE_MARGIN_REVISIONS * IDENTITY_COUNT
+    return enter_phase(state._replace(fence=fence, fence_floor=fence), phase)
+
+
 def enter_phase(state: State, phase: Phase) -> State:
     """Enter a phase with all its orders due."""
     return state._replace(phase=phase, last_sent_ms=Map(), reports_requested_ms=0)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -24,6 +24,7 @@
     is_quiescent,
     next_version,
     start_change,
+    take_over,
 )
 from nutmegslip_decisions.experts.rollout._state import (
     Arming,
@@ -282,7 +283,7 @@
         # Reports lag, so each rank is armed again under this process's fence.
         ((holder, step),) = held.items()
         ((version, _),) = armed
-        return start_change(state, Holding(version, None, 0.0, now_ms, holder, step))
+        return take_over(state, Holding(version, None, 0.0, now_ms, holder, step))
     version = next_version(state)
     state = state._replace(last_version=version)
-    return start_change(state, Clearing(version, now_ms, held))
+    return take_over(state, Clearing(version, now_ms, held))
