Trust only reports of ranks that are newer than the last change

Cause, seen by stepping the simulation of test_experts_rollout: a successor read reports from before the hold, began a change of its own, was refused and waited for 2 s with the pass held (31 ticks in place of 19); after a release it undid the same pass again, from reports of before.

What: reports count from the published lag after a takeover, a release or an abandoned change on; a change that meets a foreign held pass leaves it at once.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
@@ -12,7 +12,8 @@
 from nutmegslip_decisions.direct._types import Standing
 from nutmegslip_decisions.model import Millis
 
-LEADER_TIMEOUT_MS = 700  # reports come each 100 ms, or each 500 ms while all is quiet
+LEADER_TIMEOUT_MS = 500  # a leader reports each 100 ms
+CANDIDATE_TIMEOUT_MS = 1_200  # other entries report each 500 ms while all is quiet
 DISCOVERY_MS = 800  # from the start, to hear each peer once
 
 
@@ -60,15 +61,13 @@
 
 
 def _is_first(state: State, leads: bool, now_ms: Millis) -> bool:
-    peers = {
-        peer: state.peers[peer].standing
-        for peer in fresh_peers(state, now_ms, LEADER_TIMEOUT_MS)
-    }
-    rivals = [peer for peer, standing in peers.items() if standing.leads]
-    if not rivals and not leads:
-        rivals = [peer for peer, standing in peers.items() if standing.may_lead]
-    elif not leads:
+    leaders = fresh_peers(state, now_ms, LEADER_TIMEOUT_MS)
+    rivals = [peer for peer in leaders if state.peers[peer].standing.leads]
+    if rivals and not leads:
         return False
+    if not leads:
+        candidates = fresh_peers(state, now_ms, CANDIDATE_TIMEOUT_MS)
+        rivals = [peer for peer in candidates if state.peers[peer].standing.may_lead]
     own = _address_key(state.options.address)
     return all(own < _address_key(peer) for peer in rivals)
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
@@ -1,5 +1,7 @@
 """Transitions between phases, and queries on the reports of ranks."""
 
+import math
+
 from immutables import Map
 
 from nutmegslip_decisions.experts.rollout._state import Idle, Phase, State
@@ -14,6 +16,7 @@
 Transition = tuple[State, tuple[Effect, ...]]
 IDENTITY_COUNT = 65_536
 MAX_REPORT_AGE_MS = 1_400  # covers one missed report while idle
+REPORT_LAG_MARGIN_MS = 100  # half of the published lag, since it varies
 BACKOFF_MS = 2_000  # after an abandoned change
 FENCE_MARGIN_REVISIONS = 100_000  # store revisions; no entry lags that far behind
 
@@ -46,12 +49,18 @@
 
 def abandon(state: State, version: int, reason: str, now_ms: Millis) -> Transition:
     """Abandon a change and discard everything that was read before."""
-    idle = enter_phase(state, Idle(now_ms + BACKOFF_MS))
+    idle = distrust_reports(enter_phase(state, Idle(now_ms + BACKOFF_MS)), now_ms)
     # Orders may still be carried out late, so earlier reports are discarded.
     without_reports = idle._replace(reports=Map(), layout=None)
     return without_reports, (ChangeAbandoned(version, reason),)
 
 
+def distrust_reports(state: State, now_ms: Millis) -> State:
+    """Wait for reports of what ranks do from now on."""
+    lag_ms = math.ceil(state.options.report_lag_ms) + REPORT_LAG_MARGIN_MS
+    return state._replace(trusted_from_ms=now_ms + lag_ms)
+
+
 def latest_report(state: State, rank: str) -> RankReport | None:
     """Return the latest report of a rank."""
     found = state.reports.get(rank)
@@ -62,7 +71,8 @@
     """Return the reports in rank order, None if one is missing or stale."""
     group: Group = state.group
     found = [state.reports.get(rank) for rank in group.ranks]
-    if any(item is None or item[0] + MAX_REPORT_AGE_MS < now_ms for item in found):
+    oldest_ms = max(now_ms - MAX_REPORT_AGE_MS, state.trusted_from_ms)
+    if any(item is None or item[0] < oldest_ms for item in found):
         return None
     return [report for _, report in found]
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -14,11 +14,12 @@
 
 from nutmegslip_decisions.experts.placement import plan_even_shares
 from nutmegslip_decisions.experts.rollout._orders import unconfirmed_orders
-from nutmegslip_decisions.experts.rollout._outcomes import SETTLE_MS, on_outcome
+from nutmegslip_decisions.experts.rollout._outcomes import on_outcome
 from nutmegslip_decisions.experts.rollout._phases import (
     MAX_REPORT_AGE_MS,
     Transition,
     abandon,
+    distrust_reports,
     enter_phase,
     fresh_reports,
     is_quiescent,
@@ -36,6 +37,7 @@
     State,
 )
 from nutmegslip_decisions.experts.rollout._types import (
+    ChangeAbandoned,
     ChangeCompleted,
     Effect,
     Event,
@@ -102,12 +104,11 @@
             next_state, more = _advance_and_send(next_state, now_ms)
             return next_state, (*effects, *more)
         case Tick(now_ms, is_leader, fence):
-            return _on_tick(
-                state._replace(
-                    is_leader=is_leader, latest_fence=max(state.latest_fence, fence)
-                ),
-                now_ms,
-            )
+            if is_leader and not state.is_leader:
+                state = distrust_reports(state, now_ms)
+            latest_fence = max(state.latest_fence, fence)
+            state = state._replace(is_leader=is_leader, latest_fence=latest_fence)
+            return _on_tick(state, now_ms)
 
 
 def _begin_change(state: State, loads: Loads, now_ms: Millis) -> State:
@@ -164,7 +165,10 @@
     """Return when reports are to be read again."""
     match state.phase:
         case Idle():
-            return state.reports_requested_ms + IDLE_REPORT_INTERVAL_MS
+            due_ms = state.reports_requested_ms + IDLE_REPORT_INTERVAL_MS
+            if state.reports_requested_ms < state.trusted_from_ms:
+                return min(due_ms, state.trusted_from_ms)
+            return due_ms
         case Preparing(since_ms=since_ms):
             return max(
                 since_ms + FIRST_PREPARED_MS,
@@ -221,6 +225,10 @@
         case Preparing(version, layout, gain, since_ms):
             if now_ms > since_ms + PREPARE_TIMEOUT_MS:
                 return abandon(state, version, "prepare timed out", now_ms)
+            if any(report.held is not None for _, report in state.reports.values()):
+                # Another leader's change is unfinished; it is taken over first.
+                abandoned = ChangeAbandoned(version, "another pass is held")
+                return enter_phase(state, Idle(now_ms)), (abandoned,)
             reports = fresh_reports(state, now_ms)
             if reports is None or any(r.prepared != version for r in reports):
                 return state, ()
@@ -244,7 +252,8 @@
                 return state, ()
             if not changed:
                 # Reports lag, so they may still show the pass that was just released.
-                return enter_phase(state, Idle(now_ms + SETTLE_MS)), ()
+                idle = enter_phase(state, Idle(now_ms))
+                return distrust_reports(idle, now_ms), ()
             reports = fresh_reports(state, now_ms)
             if reports is None or any(r.version != version for r in reports):
                 if now_ms > since_ms + CHANGE_TIMEOUT_MS:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -113,7 +113,9 @@
     to a later time while a rank copies, to delay the retry. ``fence`` is the fencing
     number of the change: a process that begins later has a higher one, and a rank
     refuses orders with a lower one than it has seen. ``fence_floor`` is above the last
-    fence that was refused. ``pass_ms`` is the mean time of a pass, 0 if unknown.
+    fence that was refused.``pass_ms`` is the mean time of a pass, 0 if unknown. Reports
+    that were read before ``trusted_from_ms`` may show what an earlier leader, or this
+    process, has changed since.
     """
 
     options: Options
@@ -130,3 +132,4 @@
     is_leader: bool = False
     reports_requested_ms: Millis = 0
     pass_ms: float = 0.0
+    trusted_from_ms: Millis = 0
