--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
@@ -61,13 +61,19 @@
 
 
 def _is_first(state: State, leads: bool, now_ms: Millis) -> bool:
-    leaders = fresh_peers(state, now_ms, LEADER_TIMEOUT_MS)
-    rivals = [peer for peer in leaders if state.peers[peer].standing.leads]
+    standings = {peer: report.standing for peer, report in state.peers.items()}
+    heard = fresh_peers(state, now_ms, LEADER_TIMEOUT_MS)
+    rivals = [peer for peer in heard if standings[peer].leads]
     if rivals and not leads:
         return False
     if not leads:
-        candidates = fresh_peers(state, now_ms, CANDIDATE_TIMEOUT_MS)
-        rivals = [peer for peer in candidates if state.peers[peer].standing.may_lead]
+        heard = fresh_peers(state, now_ms, CANDIDATE_TIMEOUT_MS)
+        # A leader that is silent for longer than its timeout is no candidate.
+        rivals = [
+            peer
+            for peer in heard
+            if standings[peer].may_lead and not standings[peer].leads
+        ]
     own = _address_key(state.options.address)
     return all(own < _address_key(peer) for peer in rivals)
 
