Prefer upstreams in the own availability zone by one slot, and crash on prompts in the soak

Cause: two of three requests crossed zones, which users pay dear; which rank of a group has a request changes its pace little.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -3,8 +3,10 @@
 Answers the load pattern in which several entries send to the same few upstreams,
 whose slots are scarce: takes the least loaded of a random sample, by the requests
 that all entries have in flight. With the least loaded of all, every entry would send
-to the same upstream until the next reports arrive. Cold upstreams are limited to
-their rate, and failing upstreams are avoided for a while.
+to the same upstream until the next reports arrive. Of two that differ by less than a
+slot it takes one in its own availability zone: traffic between zones is dear, and the
+ranks of a group run in one pass, whichever of them has the request. Cold upstreams
+are limited to their rate, and failing upstreams are avoided for a while.
 """
 
 from collections import Counter
@@ -20,6 +22,7 @@
 from nutmegslip_decisions.direct._types import Request, Service, Upstream
 from nutmegslip_decisions.model import Millis
 
+DISTANT_ZONE_SLOTS = 1  # more evens the load less, and the ranks of a group share it
 SAMPLE_SIZE = 12  # of 72 upstreams; about 2 of 13 sends between reports collide
 
 
@@ -34,6 +37,11 @@
         """Return the share of slots that are taken."""
         return self.in_flight / self.upstream.slots
 
+    def cost(self, zone: str) -> float:
+        """Return the load, one slot higher in another availability zone."""
+        distant = self.upstream.zone != zone
+        return self.load + distant * DISTANT_ZONE_SLOTS / self.upstream.slots
+
     @property
     def is_full(self) -> bool:
         """Return whether every slot is taken."""
@@ -75,7 +83,9 @@
         for candidate in candidates
         if not _is_avoided(state, candidate.upstream, now_ms)
     ]
-    return _least_loaded(preferred or candidates, request).upstream
+    sampled = _sample(preferred or candidates, request)
+    zone = state.options.zone
+    return min(sampled, key=lambda candidate: candidate.cost(zone)).upstream
 
 
 def capacity_of(state: State, service: str, now_ms: Millis) -> Capacity:
@@ -147,8 +157,7 @@
     return state.stats_of(upstream.id).avoid_until_ms > now_ms
 
 
-def _least_loaded(candidates: list[Candidate], request: Request) -> Candidate:
+def _sample(candidates: list[Candidate], request: Request) -> list[Candidate]:
     # Seeded with the request's id, so that entries draw and break ties differently.
     generator = Random(xxhash.xxh3_64_intdigest(request.request_id.encode()))
-    sampled = generator.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
-    return min(sampled, key=lambda candidate: candidate.load)
+    return generator.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
@@ -6,7 +6,8 @@
 class Options(NamedTuple):
     """The limits of a deployment and the options of an entry.
 
-    ``address`` is the one under which other entries know this one. ``entries`` is the
+    ``address`` is the one under which other entries know this one, ``zone`` its
+    availability zone. ``entries`` is the
     minimum count of entries that share the limits. ``budget_*``
     limit retries at a service, ``cold_*`` limit requests to a cold upstream.
     ``rejoin_ms`` is how long removed upstreams are kept after a store outage.
@@ -14,6 +15,7 @@
 
     name: str
     address: str = ""
+    zone: str = ""
     entries: int = 1
     budget_ratio: float = 0.1
     budget_window_ms: int = 10_000
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -107,7 +107,7 @@
 def _options(sections: _File) -> Options:
     process, fleet, bounds = sections["process"], sections["fleet"], sections["bounds"]
     peers_host, _ = _address(sections["listen"]["peers"])
-    defaults = Options(process["host"], peers_host)
+    defaults = Options(process["host"], peers_host, process["zone"])
     return defaults._replace(
         # Each zone has at least one entry, even if the seeds do not list it yet.
         entries=max(len(fleet["seeds"]), len(fleet["zones"]), 1),
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -10,6 +10,7 @@
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import ClientConnection, NotConnected
 from soak._guarantees import ReceivedResponse, SentRequest
+from soak._prompts import Prompts
 
 KINDS = (("lookup", "/lookups/"), ("push", "/pushes/"), ("stream", "/verses/"))
 PAUSE_S = 0.02  # after a success
@@ -19,9 +20,13 @@
 class Callers:
     """Concurrent callers, each of which sends one request after the other."""
 
-    def __init__(self, entries: list[EntryProcess], seed: int) -> None:
+    def __init__(
+        self, entries: list[EntryProcess], seed: int, prompts: Prompts
+    ) -> None:
+        self._prompts = prompts
         self._entries = entries
         self._seed = seed
+        self._prompt_rng = Random(f"{seed}-parts")
         self._request_numbers = count(1)
         self._sending = True
         self.sent: dict[str, SentRequest] = {}
@@ -32,8 +37,9 @@
         return [gevent.spawn(self._run_caller, number) for number in range(callers)]
 
     def stop(self) -> None:
-        """Stop sending new requests."""
+        """Stop sending new requests, and bad prompts."""
         self._sending = False
+        self._prompts = Prompts(has_bad=False)
 
     def send_request(
         self, rng: Random, connection: ClientConnection, entry: str
@@ -43,10 +49,15 @@
         request_id = f"q{next(self._request_numbers)}"
         target = f"{prefix}{rng.randrange(9)}?of={request_id}".encode()
         body = rng.randbytes(rng.choice((0, 20, 3_000)))
+        parts = self._prompts.draw_parts(self._prompt_rng) if kind == "stream" else ()
         sent = self.sent[request_id] = SentRequest(
-            request_id, kind, target, body, entry, boottime_ms()
+            request_id, kind, target, body, entry, boottime_ms(), parts
         )
-        reply = exchange(connection, b"POST", target, caller_headers(request_id), body)
+        headers = caller_headers(request_id)
+        if parts:
+            value = ",".join(f"{part}:40" for part in (*parts, request_id))
+            headers.append((b"X-Nutmegslip-Prompt-Prefix", value.encode()))
+        reply = exchange(connection, b"POST", target, headers, body)
         response = ReceivedResponse(
             sent, reply.status, reply.body, reply.complete, boottime_ms()
         )
--- a/soak/_guarantees.py
+++ b/soak/_guarantees.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from nutmegslip_decisions.direct import RefusalKind
 from nutmegslip_runtime.http1 import HttpRequest
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -14,7 +15,10 @@
 
 
 class SentRequest(NamedTuple):
-    """One request as sent by a caller to an entry, named by its address."""
+    """One request as sent by a caller to an entry, named by its address.
+
+    ``parts`` are the shared parts of its prompt.
+    """
 
     request_id: str
     kind: str
@@ -22,6 +26,7 @@
     body: bytes
     entry: str = ""
     sent_ms: int = 0
+    parts: tuple[str, ...] = ()
 
 
 class ReceivedResponse(NamedTuple):
@@ -75,15 +80,21 @@
         and not body.startswith(response.body)
     ):
         yield f"stream events out of order or from another run: {response.body[-60:]!r}"
-    if response.status not in (0, 200) and response.body not in (
-        b"",
-        RUNNER_ERROR_BODY,
+    if response.status not in (0, 200) and not (
+        response.body in (b"", RUNNER_ERROR_BODY) or _refuses_part(response)
     ):
         yield f"a failure with an unexpected body: {response.body[:60]!r}"
     if response.body == RUNNER_ERROR_BODY and response.status != 500:
         yield f"a runner's 500 response passed on under status {response.status}"
 
 
+def _refuses_part(response: ReceivedResponse) -> bool:
+    """Return whether the body is the problem document for a blamed part."""
+    title = f'{{"title":"{RefusalKind.CRASHING_PART}","status":503'.encode()
+    has_parts = len(response.sent.parts) > 1
+    return response.status == 503 and has_parts and response.body.startswith(title)
+
+
 def expected_body(sent: SentRequest) -> bytes:
     """Return the complete body that a runner sends for a request."""
     if sent.kind != "stream":
--- a/soak/_notices.py
+++ b/soak/_notices.py
@@ -65,7 +65,7 @@
     for arrival in arrivals:
         sent_ms = history.sent[arrival.request_id].sent_ms
         late = sent_ms > told_ms + DRAIN_S * 1_000
-        if late and not _disturbed(history, {entry}, told_ms, arrival.at_ms):
+        if late and not was_disturbed(history, {entry}, told_ms, arrival.at_ms):
             yield (
                 f"{arrival.request_id}: sent to a runner {sent_ms - told_ms} ms after"
                 f" {entry} had passed on that it leaves"
@@ -83,7 +83,7 @@
             if asked.at_ms + PAUSE_GRACE_MS < arrival.at_ms < end_ms
         ]
         # A disturbed link may have lost the rejection.
-        if len(early) > MAX_REQUESTS_IN_PAUSE and not _disturbed(
+        if len(early) > MAX_REQUESTS_IN_PAUSE and not was_disturbed(
             history, names, asked.at_ms, end_ms
         ):
             yield (
@@ -92,9 +92,10 @@
             )
 
 
-def _disturbed(
+def was_disturbed(
     history: History, names: set[str], started_ms: int, ended_ms: int
 ) -> bool:
+    """Return whether one of the named was disturbed in a time."""
     return any(
         item.name in names
         and item.started_ms <= ended_ms
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,6 +11,7 @@
 from soak._callers import Callers
 from soak._guarantees import find_violations
 from soak._notices import History, find_ignored_notices
+from soak._prompts import BAD_PART, Prompts, find_prompt_violations
 from soak._schedule import ENTRIES, Step, plan, plan_notices
 from soak._site import SoakSite
 
@@ -46,7 +47,10 @@
 
 def _run_schedule(seed: int, schedule: tuple[Step, ...], site: SoakSite) -> Outcome:
     site.start()
-    callers = Callers(site.entries, seed)
+    prompts = Prompts.of_seed(seed)
+    if prompts.has_bad:
+        site.crash_on(BAD_PART)
+    callers = Callers(site.entries, seed, prompts)
     caller_greenlets = callers.start(CALLERS)
     step_greenlets = [
         gevent.spawn_later(step.at_s, site.run, step) for step in schedule
@@ -84,7 +88,8 @@
         callers.sent, callers.received, runs, site.arrivals(), site.disturbances()
     )
     found = find_violations(callers.sent, callers.received, runs, runner_requests)
-    return dict.fromkeys((*found, *find_ignored_notices(history)))
+    prompts = find_prompt_violations(history, site.crashes_ms())
+    return dict.fromkeys((*found, *find_ignored_notices(history), *prompts))
 
 
 def _failed_final_requests(callers: Callers, site: SoakSite) -> list[str]:
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -42,6 +42,7 @@
         self._written: dict[str, dict] = {}
         self._stopped_runners: list[Runner] = []
         self._disturbances: list[Disturbance] = []
+        self._crashing_part = ""
         self.runners = [self._start_runner(number) for number in range(RUNNERS)]
         self._links = [Proxy(runner.address) for runner in self.runners]
         stores = [Proxy(self.store.address) for _ in range(entries)]
@@ -146,6 +147,17 @@
             for request in runner.requests
         ]
 
+    def crash_on(self, part: str) -> None:
+        """Make each runner, also later ones, crash on a part of a prompt."""
+        self._crashing_part = part
+        for runner in self.runners:
+            runner.crashing_part = part
+
+    def crashes_ms(self) -> list[int]:
+        """Return when runners crashed on a part of a prompt."""
+        runners = (*self._stopped_runners, *self.runners)
+        return [at_ms for runner in runners for at_ms in runner.crashes_ms]
+
     def close(self) -> None:
         """End everything that this site started."""
         for entry in self.entries:
@@ -191,6 +203,7 @@
         born = next(self._birth_numbers)
         runner = Runner(name or f"r{number}-{born}", events=events, pause_s=pause_s)
         runner.pause = PAUSE
+        runner.crashing_part = self._crashing_part
         self._births[runner.name] = born
         return runner
 
