Weigh how common a part is before it is blamed, and ignore early closes

What: a crash counts only after a tenth of the objective; each crash carries the share of requests with the part, and a blame needs that its presence in all of them is unlikely for an innocent part.

--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -27,7 +27,7 @@
 LEAVING = (b"Server-Leaving", b"1")
 DRIP_INTERVAL_S = 0.05
 SLOW_INTERVAL_S = 0.7
-CRASH_S = 0.5  # for which a crashed runner resets connections
+CRASH_S = 1.5  # for which a crashed runner resets connections
 ENDED_BY_CLOSE = frozenset(
     {Fault.NO_LENGTH, Fault.CLOSE_CUT, Fault.CLOSE_RESET, Fault.CLOSE_EMPTY}
 )
@@ -52,7 +52,7 @@
 
     ``leaving`` is whether it says in each answer that it leaves. ``pause`` is the
     value of Retry-After that ``Fault.PAUSE`` sends. A request whose prompt has
-    ``crashing_part``, not as its last part, crashes the runner for half a second.
+    ``crashing_part``, not as its last part, crashes the runner as it begins to answer.
     ``runs`` counts runs by request id; ``requests`` lists every request that ran, and
     ``disconnected`` the ids of those whose caller disconnected. ``arrivals`` lists
     every request that arrived.
@@ -160,6 +160,7 @@
         self.runs[request_id] += 1
         self.requests.append(request)
         if self._crashes_on(request):
+            gevent.sleep(self.pause_s)
             self._crash()
             raise OSError("connection reset by a crash")
         headers = [
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -18,10 +18,12 @@
     Crash,
     PartEvidence,
     PartReport,
+    chance_of,
     crashes_in_sequence,
     merged_blame,
     most_recent,
     with_crash,
+    with_sent,
     without_expired,
 )
 from nutmegslip_decisions.direct._peers import STALE_AFTER_MS, fresh_peers
@@ -31,6 +33,8 @@
 
 SUSPECT_CRASHES = 2  # in sequence; one crash is most often the host's own
 BLAME_CRASHES = 3
+MAX_CHANCE = 0.05  # that an innocent part was in all of the crashes
+MIN_START_SHARE = 0.1  # of the objective; no answer begins earlier
 SERVICE_ANSWERS_MS = 3_000  # without any begun answer the whole service is away
 PROBE_DELAYS_MS = (10_000, 60_000)  # from the blame on; each probe may cost a group
 PROBE_TURN_MS = 1_000  # an entry's turn; its report of a probe arrives well within it
@@ -68,12 +72,16 @@
 
 def with_crashed_attempt(state: State, request: Request, now_ms: Millis) -> State:
     """Count an attempt whose upstream crashed before the answer began."""
+    lasted_ms = now_ms - request.sent_at_ms
+    if lasted_ms < MIN_START_SHARE * request.route.objective_ms:
+        return state  # too early for an answer to begin: the host or a limit closed it
     answered_ms = load_of(state, request.service).answered_ms
     if not request.parts or answered_ms + SERVICE_ANSWERS_MS < now_ms:
         return state
     evidence = state.parts
     for part in request.parts:
-        evidence = with_crash(evidence, part, Crash(request.sent_at_ms, now_ms))
+        crash = Crash(request.sent_at_ms, now_ms, evidence.share(part))
+        evidence = with_crash(evidence, part, crash)
     return _with_counts(state._replace(parts=evidence), request.parts, now_ms)
 
 
@@ -93,14 +101,17 @@
     return _with_counts(state._replace(parts=evidence), request.parts, now_ms)
 
 
-def with_probe(state: State, request: Request) -> State:
-    """Count a request that is sent although a part of it is blamed."""
+def with_sent_parts(state: State, request: Request) -> State:
+    """Count a request that is sent, as a probe if a part of it is blamed."""
+    if not request.parts:
+        return state
     blames = state.parts.blames
     for part in request.parts:
         if part in blames:
             blame = blames[part]
             blames = blames.set(part, blame._replace(probes=blame.probes + 1))
-    return state._replace(parts=state.parts._replace(blames=blames))
+    evidence = with_sent(state.parts._replace(blames=blames), request.parts)
+    return state._replace(parts=evidence)
 
 
 def with_blame_seen(state: State, request: Request, now_ms: Millis) -> State:
@@ -161,11 +172,15 @@
         blame = blames.get(part)
         if blame is not None and begun_ms is not None and begun_ms >= blame.since_ms:
             blames = blames.delete(part)
-        elif blame is None and len(counted) >= BLAME_CRASHES:
+        elif blame is None and _is_blamed(counted):
             blames = blames.set(part, Blame(counted[-1].ended_ms, 0, now_ms))
     return state._replace(parts=evidence._replace(counts=counts, blames=blames))
 
 
+def _is_blamed(counted: tuple[Crash, ...]) -> bool:
+    return len(counted) >= BLAME_CRASHES and chance_of(counted) <= MAX_CHANCE
+
+
 def _without(found: Map, key: str) -> Map:
     return found.delete(key) if key in found else found
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -5,8 +5,13 @@
 only in sequence: each sent after the one before had ended, and no answer with the part
 begun in between, at any entry. An innocent part fails this test as soon as one of its
 answers begins; a part that crashes upstreams never does.
+
+A part that many requests have is in many crashes by chance, beside the one that caused
+them. So each crash also has the share of requests with the part, and the part is only
+blamed if its presence in all of them is unlikely to be chance.
 """
 
+from math import prod
 from typing import NamedTuple
 
 from immutables import Map
@@ -19,13 +24,20 @@
 MAX_CRASHES_PER_PART = 4
 MAX_PARTS = 256  # those whose last crash is the latest are kept
 MAX_REPORTED_PARTS = 16  # keeps a report within one datagram
+MAX_COUNTED_PARTS = 4_096
+HALVING_MS = 5_000  # of the counts of sent requests
+REQUESTS_PER_CRASH = 2  # without a begun answer at an upstream, usually
 
 
 class Crash(NamedTuple):
-    """When a crashed attempt was sent, and when it ended."""
+    """When a crashed attempt was sent, and when it ended.
+
+    ``share`` is the share of the entry's requests that had the part.
+    """
 
     sent_ms: Millis
     ended_ms: Millis
+    share: float = 0.0
 
 
 class Blame(NamedTuple):
@@ -58,7 +70,8 @@
 
     ``crashes`` are its own; ``recent`` is when an answer with a part last began here.
     ``begun`` is when one with a suspected part last began at any entry. ``counts`` are
-    the crashes in sequence over all entries, for the parts that have any.
+    the crashes in sequence over all entries, for the parts that have any. ``sent``
+    and ``total`` count the requests sent from here, halved at ``halve_ms``.
     """
 
     crashes: Map[str, tuple[Crash, ...]] = Map()
@@ -66,6 +79,13 @@
     begun: Map[str, Millis] = Map()
     counts: Map[str, int] = Map()
     blames: Map[str, Blame] = Map()
+    sent: Map[str, float] = Map()
+    total: float = 0.0
+    halve_ms: Millis = 0
+
+    def share(self, part: str) -> float:
+        """Return the share of requests with a part; high while few were sent."""
+        return self.sent.get(part, 0.0) / (self.total + 1)
 
 
 def crashes_in_sequence(
@@ -84,6 +104,20 @@
     return tuple(counted)
 
 
+def chance_of(crashes: tuple[Crash, ...]) -> float:
+    """Return how likely an innocent part is in all of these crashes."""
+    return prod(min(REQUESTS_PER_CRASH * crash.share, 1.0) for crash in crashes)
+
+
+def with_sent(evidence: PartEvidence, parts: tuple[str, ...]) -> PartEvidence:
+    """Count a request that is sent."""
+    sent = evidence.sent
+    for part in parts:
+        if part in sent or len(sent) < MAX_COUNTED_PARTS:
+            sent = sent.set(part, sent.get(part, 0.0) + 1)
+    return evidence._replace(sent=sent, total=evidence.total + 1)
+
+
 def merged_blame(old: Blame | None, new: Blame) -> Blame:
     """Return what two entries know of the same blame."""
     if old is None:
@@ -108,7 +142,12 @@
 
 
 def without_expired(evidence: PartEvidence, now_ms: Millis) -> PartEvidence:
-    """Forget crashes and begun answers that no longer matter."""
+    """Forget crashes, begun answers and sent requests that no longer matter."""
+    if now_ms >= evidence.halve_ms:
+        halves = Map({p: n / 2 for p, n in evidence.sent.items() if n >= 1})
+        evidence = evidence._replace(
+            sent=halves, total=evidence.total / 2, halve_ms=now_ms + HALVING_MS
+        )
     return evidence._replace(
         crashes=_newer(
             evidence.crashes, now_ms - CRASH_MEMORY_MS, lambda found: found[-1].ended_ms
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -30,7 +30,10 @@
     parts = report.parts
     fields = [
         {
-            part: [[now_ms - crash.sent_ms, now_ms - crash.ended_ms] for crash in found]
+            part: [
+                [now_ms - crash.sent_ms, now_ms - crash.ended_ms, crash.share]
+                for crash in found
+            ]
             for part, found in parts.crashes.items()
         },
         {part: now_ms - begun_ms for part, begun_ms in parts.begun.items()},
@@ -73,8 +76,8 @@
         Map(
             {
                 str(part): tuple(
-                    Crash(now_ms - int(sent), now_ms - int(ended))
-                    for sent, ended in found
+                    Crash(now_ms - int(sent), now_ms - int(ended), float(share))
+                    for sent, ended, share in found
                 )
                 for part, found in crashes.items()
             }
--- a/soak/_guarantees.py
+++ b/soak/_guarantees.py
@@ -90,9 +90,14 @@
 
 def _refuses_part(response: ReceivedResponse) -> bool:
     """Return whether the body is the problem document for a blamed part."""
-    title = f'{{"title":"{RefusalKind.CRASHING_PART}","status":503'.encode()
-    has_parts = len(response.sent.parts) > 1
-    return response.status == 503 and has_parts and response.body.startswith(title)
+    start = f'{{"title":"{RefusalKind.CRASHING_PART}","status":{response.status},'
+    end = '"ran":"no"}' if response.status == 503 else '"ran":"unknown"}'
+    return (
+        response.status in (502, 503, 504)
+        and len(response.sent.parts) > 0
+        and response.body.startswith(start.encode())
+        and response.body.endswith(end.encode())
+    )
 
 
 def expected_body(sent: SentRequest) -> bytes:
--- a/tests/test_direct_crash_parts.py
+++ b/tests/test_direct_crash_parts.py
@@ -26,11 +26,13 @@
     Tick,
     part_report,
 )
+from nutmegslip_decisions.direct._crash_parts import MAX_CHANCE
 from nutmegslip_decisions.direct._part_evidence import (
     CRASH_MEMORY_MS,
     INNOCENT_MS,
     MAX_PARTS,
     MAX_REPORTED_PARTS,
+    chance_of,
     crashes_in_sequence,
 )
 from nutmegslip_entry.direct._reports import (
@@ -72,10 +74,37 @@
                 self.assertEqual(len(crashes_in_sequence(crashes, begun_ms)), count)
 
 
+class ChanceTests(unittest.TestCase):
+    """A part that many requests have is in many crashes by chance."""
+
+    def test_how_likely_an_innocent_part_is_in_all_crashes(self):
+        cases = ((0.02, 3, True), (0.1, 3, True), (0.3, 3, False), (0.3, 6, True))
+        for share, count, unlikely in cases:
+            with self.subTest(share=share, count=count):
+                crashes = (Crash(0, 1, share),) * count
+                self.assertEqual(chance_of(crashes) <= MAX_CHANCE, unlikely)
+
+    def test_a_part_of_every_request_is_never_blamed(self):
+        world = World(*(upstream(f"m{n}", "model", slots=8) for n in range(4)))
+        for number in range(30):
+            world.arrive("/verses/1", parts=("everywhere", f"subject{number}"))
+            world.now_ms += 100
+            if number < 20:
+                world.take(ResponseStarted(world.now_ms, world.tickets))
+                world.take(RequestEnded(world.now_ms, world.tickets, True))
+                world.now_ms += INNOCENT_MS if number == 19 else 0
+                continue
+            world.take(AttemptFailed(world.now_ms, world.tickets, CRASH))
+            world.take(RequestEnded(world.now_ms, world.tickets, False))
+        self.assertGreater(world.state.parts.counts["everywhere"], 2)
+        self.assertFalse(world.state.parts.blames)
+
+
 class PartTestCase(unittest.TestCase):
     def setUp(self):
         self.world = World(*(upstream(f"m{n}", "model", slots=8) for n in range(4)))
-        self.answer(("warm-up",))
+        for number in range(40):
+            self.answer((f"warm-up{number}",))
 
     def answer(self, parts):
         """Send a request and begin and end its answer."""
@@ -125,6 +154,7 @@
     def test_what_is_no_evidence(self):
         cases = {
             "a timeout": Broken("no response before the deadline"),
+            "a connection closed at once": CRASH,
             "a rejection": Declined(),
             "a rank of its group crashed": Declined(at_fault="m9"),
         }
@@ -133,7 +163,7 @@
                 for _ in range(4):
                     self.world.arrive("/verses/1", parts=(name,))
                     ticket = self.world.tickets
-                    self.world.now_ms += 100
+                    self.world.now_ms += 2 if failure is CRASH else 100
                     self.world.take(AttemptFailed(self.world.now_ms, ticket, failure))
                     self.world.take(RequestEnded(self.world.now_ms, ticket, False))
                     self.answer(())
