Count shares by arrivals, and repeat no suspected request that met a crash

What: crashes count for 10 s without any begun answer; shares are of arrivals; from the second crash in sequence on a request is sent once.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -3,8 +3,9 @@
 Answers the load pattern in which requests with one common prompt part arrive at any
 entry, and each upstream that begins to answer one crashes and takes its group along.
 Sent again elsewhere, each of them takes out two groups. After two crashes in sequence
-requests with the part are sent one at a time, after three they are refused. Two probes
-then find out whether the part still crashes upstreams; the entries take turns at them.
+requests with the part are sent once and one at a time, after three they are refused.
+Two probes then find out whether the part still crashes upstreams; the entries take
+turns at them.
 """
 
 from collections.abc import Iterable
@@ -22,8 +23,8 @@
     crashes_in_sequence,
     merged_blame,
     most_recent,
+    with_arrival,
     with_crash,
-    with_sent,
     without_expired,
 )
 from nutmegslip_decisions.direct._peers import STALE_AFTER_MS, fresh_peers
@@ -33,9 +34,9 @@
 
 SUSPECT_CRASHES = 2  # in sequence; one crash is most often the host's own
 BLAME_CRASHES = 3
-MAX_CHANCE = 0.05  # that an innocent part was in all of the crashes
+MAX_CHANCE = 0.1  # that an innocent part was in all of the crashes
 MIN_START_SHARE = 0.1  # of the objective; no answer begins earlier
-SERVICE_ANSWERS_MS = 3_000  # without any begun answer the whole service is away
+SERVICE_ANSWERS_MS = 10_000  # without any begun answer the service itself is away
 PROBE_DELAYS_MS = (10_000, 60_000)  # from the blame on; each probe may cost a group
 PROBE_TURN_MS = 1_000  # an entry's turn; its report of a probe arrives well within it
 
@@ -70,6 +71,12 @@
     return max(max(due_ms, default=now_ms) - now_ms, PROBE_TURN_MS)
 
 
+def is_suspected(state: State, request: Request) -> bool:
+    """Return whether a crash that the request has met is likely its own doing."""
+    counts = state.parts.counts
+    return any(counts.get(part, 0) >= SUSPECT_CRASHES for part in request.parts)
+
+
 def with_crashed_attempt(state: State, request: Request, now_ms: Millis) -> State:
     """Count an attempt whose upstream crashed before the answer began."""
     lasted_ms = now_ms - request.sent_at_ms
@@ -101,26 +108,26 @@
     return _with_counts(state._replace(parts=evidence), request.parts, now_ms)
 
 
-def with_sent_parts(state: State, request: Request) -> State:
-    """Count a request that is sent, as a probe if a part of it is blamed."""
-    if not request.parts:
-        return state
+def with_probe(state: State, request: Request) -> State:
+    """Count a request that is sent although a part of it is blamed."""
     blames = state.parts.blames
     for part in request.parts:
         if part in blames:
             blame = blames[part]
             blames = blames.set(part, blame._replace(probes=blame.probes + 1))
-    evidence = with_sent(state.parts._replace(blames=blames), request.parts)
-    return state._replace(parts=evidence)
+    return state._replace(parts=state.parts._replace(blames=blames))
 
 
-def with_blame_seen(state: State, request: Request, now_ms: Millis) -> State:
-    """Keep the blame of the parts of a request for as long as they arrive."""
+def with_arrived_parts(state: State, request: Request, now_ms: Millis) -> State:
+    """Count the parts of a request; a blame lasts for as long as its part arrives."""
+    if not request.parts:
+        return state
     blames = state.parts.blames
     for part in request.parts:
         if part in blames:
             blames = blames.set(part, blames[part]._replace(seen_ms=now_ms))
-    return state._replace(parts=state.parts._replace(blames=blames))
+    evidence = with_arrival(state.parts._replace(blames=blames), request.parts)
+    return state._replace(parts=evidence)
 
 
 def with_part_report(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -6,7 +6,7 @@
     Gate,
     blame_delay_ms,
     part_gate,
-    with_sent_parts,
+    with_probe,
 )
 from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
 from nutmegslip_decisions.direct._state import State
@@ -48,7 +48,7 @@
     upstream = state.upstreams[upstream_id]
     if request.reached:
         state = count_retry(state, request.service, now_ms)
-    state = with_sent_parts(state, request)
+    state = with_probe(state, request)
     sent = request._replace(
         upstream=upstream_id,
         sent_at_ms=now_ms,
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -25,7 +25,7 @@
 MAX_PARTS = 256  # those whose last crash is the latest are kept
 MAX_REPORTED_PARTS = 16  # keeps a report within one datagram
 MAX_COUNTED_PARTS = 4_096
-HALVING_MS = 5_000  # of the counts of sent requests
+HALVING_MS = 5_000  # of the counts of arrivals
 REQUESTS_PER_CRASH = 2  # without a begun answer at an upstream, usually
 
 
@@ -70,8 +70,8 @@
 
     ``crashes`` are its own; ``recent`` is when an answer with a part last began here.
     ``begun`` is when one with a suspected part last began at any entry. ``counts`` are
-    the crashes in sequence over all entries, for the parts that have any. ``sent``
-    and ``total`` count the requests sent from here, halved at ``halve_ms``.
+    the crashes in sequence over all entries, for the parts that have any. ``arrived``
+    and ``total`` count the requests that arrived here, halved at ``halve_ms``.
     """
 
     crashes: Map[str, tuple[Crash, ...]] = Map()
@@ -79,13 +79,13 @@
     begun: Map[str, Millis] = Map()
     counts: Map[str, int] = Map()
     blames: Map[str, Blame] = Map()
-    sent: Map[str, float] = Map()
+    arrived: Map[str, float] = Map()
     total: float = 0.0
     halve_ms: Millis = 0
 
     def share(self, part: str) -> float:
-        """Return the share of requests with a part; high while few were sent."""
-        return self.sent.get(part, 0.0) / (self.total + 1)
+        """Return the share of requests with a part; high while few have arrived."""
+        return self.arrived.get(part, 0.0) / (self.total + 1)
 
 
 def crashes_in_sequence(
@@ -109,13 +109,13 @@
     return prod(min(REQUESTS_PER_CRASH * crash.share, 1.0) for crash in crashes)
 
 
-def with_sent(evidence: PartEvidence, parts: tuple[str, ...]) -> PartEvidence:
-    """Count a request that is sent."""
-    sent = evidence.sent
+def with_arrival(evidence: PartEvidence, parts: tuple[str, ...]) -> PartEvidence:
+    """Count a request that arrived."""
+    arrived = evidence.arrived
     for part in parts:
-        if part in sent or len(sent) < MAX_COUNTED_PARTS:
-            sent = sent.set(part, sent.get(part, 0.0) + 1)
-    return evidence._replace(sent=sent, total=evidence.total + 1)
+        if part in arrived or len(arrived) < MAX_COUNTED_PARTS:
+            arrived = arrived.set(part, arrived.get(part, 0.0) + 1)
+    return evidence._replace(arrived=arrived, total=evidence.total + 1)
 
 
 def merged_blame(old: Blame | None, new: Blame) -> Blame:
@@ -142,11 +142,11 @@
 
 
 def without_expired(evidence: PartEvidence, now_ms: Millis) -> PartEvidence:
-    """Forget crashes, begun answers and sent requests that no longer matter."""
+    """Forget crashes, begun answers and arrivals that no longer matter."""
     if now_ms >= evidence.halve_ms:
-        halves = Map({p: n / 2 for p, n in evidence.sent.items() if n >= 1})
+        halves = Map({p: n / 2 for p, n in evidence.arrived.items() if n >= 1})
         evidence = evidence._replace(
-            sent=halves, total=evidence.total / 2, halve_ms=now_ms + HALVING_MS
+            arrived=halves, total=evidence.total / 2, halve_ms=now_ms + HALVING_MS
         )
     return evidence._replace(
         crashes=_newer(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -2,8 +2,9 @@
 
 from nutmegslip_decisions.direct._budget import count_arrival, load_of
 from nutmegslip_decisions.direct._crash_parts import (
+    is_suspected,
+    with_arrived_parts,
     with_begun_answer,
-    with_blame_seen,
     with_crashed_attempt,
 )
 from nutmegslip_decisions.direct._dispatch import (
@@ -53,7 +54,7 @@
     request = _admitted_request(caller_request, route, account, arrived_ms)
     state = count_arrival(state, request.service, now_ms)
     state = state._replace(requests=state.requests.set(request.ticket, request))
-    state = with_blame_seen(state, request, now_ms)
+    state = with_arrived_parts(state, request, now_ms)
     return send_or_queue(state, request, now_ms)
 
 
@@ -129,7 +130,8 @@
         met_crash=request.met_crash or crashed,
     )
     state = state._replace(requests=state.requests.set(request.ticket, request))
-    if may_retry(state, request, failure, now_ms):
+    repeat = not (crashed and is_suspected(state, request))
+    if repeat and may_retry(state, request, failure, now_ms):
         state, effects = send_or_queue(state, request, now_ms)
     elif isinstance(failure, Errored):
         state, effects = (
--- a/tests/test_direct_crash_parts.py
+++ b/tests/test_direct_crash_parts.py
@@ -128,9 +128,9 @@
 
     def blame(self, part=BAD_PART):
         """Let upstreams crash until a part is blamed; return when."""
-        for _ in range(2):
-            self.crash(("account", part), crashes=2)
-            self.answer(("account",))
+        self.crash(("account", part), crashes=2)
+        self.answer(("account",))
+        self.crash(("account", part))
         self.assertIn(part, self.world.state.parts.blames)
         return self.world.state.parts.blames[part].since_ms
 
@@ -184,7 +184,7 @@
 
     def test_no_part_is_blamed_while_the_whole_service_is_away(self):
         for _ in range(5):
-            self.world.now_ms += 10_000
+            self.world.now_ms += 20_000
             self.crash(("account", "subject"), crashes=2)
         self.assertFalse(self.world.state.parts.blames)
 
@@ -214,6 +214,11 @@
         )
         self.assertEqual(self.world.arrive("/verses/1", parts=("x", BAD_PART)), ())
 
+    def test_a_suspected_request_that_met_a_crash_is_not_repeated(self):
+        self.crash(("account", BAD_PART), crashes=2)
+        (effect,) = self.crash(("account", BAD_PART))
+        self.assertEqual((effect.kind, effect.ran), (RefusalKind.BROKEN, True))
+
     def test_a_held_request_does_not_block_the_queue(self):
         self.test_a_suspected_part_is_sent_one_at_a_time()
         self.assertIsInstance(self.answer(("account",))[0], Send)
