Replay the loads that the own zone, the counts and the switch answer

Red on the code before: the baseline (loads measured at the first read), the switch (12 passes of 80 ms ahead), the second hold (abandoned), the foreign held pass (held another) and even load over zones.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -299,7 +299,7 @@
                 recent[index] += max(new - old, 0.0)
         if not any(recent):
             return
-        old = self._loads.get(name, recent)
+        old = self._loads.get(name, [0.0] * len(recent))
         pairs = zip(recent, old, strict=True)
         loads = self._loads[name] = [
             new + PREVIOUS_LOADS_SHARE * previous for new, previous in pairs
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -50,11 +50,12 @@
 def decode_report(data: bytes, now_ms: Millis) -> Report:
     """Return the report in a datagram; raise ReportError if there is none."""
     try:
-        in_flight, peers, (leads, may_lead, fence), *more = cbor2.loads(data)
+        in_flight, peers, *more = cbor2.loads(data)
+        leads, may_lead, fence = more[0] if more else Standing()
         return Report(
             Map({str(key): int(count) for key, count in in_flight.items()}),
             tuple(str(peer) for peer in peers),
-            _decode_parts(*more[0], now_ms) if more else PartReport(),
+            _decode_parts(*more[1], now_ms) if len(more) > 1 else PartReport(),
             Standing(bool(leads), bool(may_lead), int(fence)),
         )
     except (
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -93,6 +93,32 @@
             self.assertEqual(effect.upstream.id, "m0")
 
 
+class OwnZoneTests(unittest.TestCase):
+    """Guard against two of three requests crossing zones under even load."""
+
+    def _zones(self, loads, count=40):
+        """Return the zones that get requests, with the others' load by zone."""
+        upstreams = [
+            upstream(f"{zone}{n}", "model", zone=zone, slots=5)
+            for zone in "abc"
+            for n in range(3)
+        ]
+        in_flight = Map({one.id: loads[one.zone] for one in upstreams})
+        zones = Counter()
+        for number in range(count):
+            world = World(*upstreams, options=Options("e", zone="a", entries=9))
+            world.take(PeerReported(world.now_ms, "other", in_flight))
+            (effect,) = world.arrive("/verses/1", request_id=f"z{number}")
+            zones[effect.upstream.zone] += 1
+        return zones
+
+    def test_under_even_load_requests_stay_in_their_zone(self):
+        self.assertEqual(self._zones({"a": 2, "b": 2, "c": 2}), {"a": 40})
+
+    def test_a_fuller_zone_sends_its_requests_to_others(self):
+        self.assertNotIn("a", self._zones({"a": 4, "b": 2, "c": 2}))
+
+
 class RoutingTests(unittest.TestCase):
     def test_refusals_before_any_upstream_is_chosen(self):
         cases = (
--- a/tests/test_direct_crash_parts.py
+++ b/tests/test_direct_crash_parts.py
@@ -6,6 +6,7 @@
 
 import unittest
 
+import cbor2
 from immutables import Map
 from nutmegslip_platform._headers import caller_fields
 
@@ -312,6 +313,10 @@
         self.assertEqual(len(report.parts.crashes), MAX_REPORTED_PARTS)
         self.assertLess(len(encode_report(report, now_ms)), DATAGRAM_BYTES)
 
+    def test_reports_of_an_earlier_build_are_read(self):
+        report = decode_report(cbor2.dumps([{"u1": 2}, ["10.0.0.2"]]), 0)
+        self.assertEqual(report, Report(Map({"u1": 2}), ("10.0.0.2",)))
+
     def test_malformed_datagrams_raise_one_error(self):
         cases = (
             b"",
--- /dev/null
+++ b/tests/test_direct_expert_maps.py
@@ -0,0 +1,130 @@
+"""Test what loads of experts are measured, and how soon a map follows them.
+
+Popularity of experts shifts each few seconds. A new leader that planned by the counts
+since the ranks' start made maps of what had been popular long ago, and a switch twelve
+passes ahead came into force as the next shift began.
+"""
+
+import unittest
+from types import SimpleNamespace
+
+from nutmegslip_decisions.direct import ExpertLayout, State, StorePosition
+from nutmegslip_decisions.direct import Options as EntryOptions
+from nutmegslip_decisions.experts.rollout import (
+    Arm,
+    Group,
+    GroupUpdated,
+    Hold,
+    LayoutRead,
+    LoadsMeasured,
+    Options,
+    OrderOutcome,
+    Outcome,
+    RankReport,
+    ReportReceived,
+    SendOrder,
+    Tick,
+    reduce,
+)
+from nutmegslip_decisions.experts.rollout import State as RolloutState
+from nutmegslip_entry.direct import ExpertCounts
+from nutmegslip_entry.direct._expert_maps import ExpertMapManager
+from tests.direct_world import upstream
+
+GROUP = Group("g", 1, ("r0", "r1"))
+LAYOUT = (((0, 1), (2, 3)),)
+LOADS = ((90.0, 5.0, 3.0, 2.0),)
+PASS_MS = 80
+REPORT_LAG_MS = 200
+
+
+class CountsTests(unittest.TestCase):
+    def setUp(self):
+        self.counts = {}
+        self.measured = []
+        machine = SimpleNamespace(clock=lambda: 0, state=State(EntryOptions("e")))
+        client = SimpleNamespace(counts=lambda rank: self.counts[rank.id])
+        self.manager = ExpertMapManager(
+            machine, client, lambda: False, 1, StorePosition, SimpleNamespace()
+        )
+        self.manager._members["g"] = {name: upstream(name) for name in GROUP.ranks}
+        self.manager._dispatch = lambda _, event: self.measured.append(event.loads)
+
+    def sample(self, *chosen, epoch=1):
+        self.counts = {
+            rank: ExpertCounts(epoch, tuple(map(float, chosen))) for rank in GROUP.ranks
+        }
+        self.manager._sample_loads("g", GROUP, ExpertLayout(1, 4, 4, 2))
+
+    def test_the_first_counts_are_a_baseline(self):
+        self.sample(9_000, 0, 0, 0)
+        self.assertEqual(self.measured, [])
+        self.sample(9_000, 0, 50, 0)
+        self.assertEqual(self.measured, [((0.0, 0.0, 100.0, 0.0),)])
+
+    def test_counts_of_a_newly_formed_group_are_a_baseline(self):
+        self.sample(9_000, 0, 0, 0)
+        self.sample(9_000, 100, 0, 0, epoch=2)
+        self.assertEqual(self.measured, [])
+
+
+class SwitchTests(unittest.TestCase):
+    """Replay a change by the times of passes, with reports that lag."""
+
+    def setUp(self):
+        self.now_ms = 100_000
+        self.state = RolloutState(Options(1, 4, 2, REPORT_LAG_MS))
+        self.take(GroupUpdated(self.now_ms, GROUP))
+        self.take(Tick(self.now_ms, True, 1 << 20))
+        for _ in range(6):
+            self.wait(500)
+        self.take(LayoutRead(self.now_ms, 1, 0, LAYOUT))
+        self.take(LoadsMeasured(self.now_ms, LOADS))
+
+    def take(self, event):
+        self.state, effects = reduce(self.state, event)
+        return [effect.order for effect in effects if isinstance(effect, SendOrder)]
+
+    def step(self, at_ms):
+        return (at_ms - 90_000) // PASS_MS
+
+    def wait(self, duration_ms, prepared=None):
+        """Let time pass; return the orders after all ranks have reported."""
+        self.now_ms += duration_ms
+        orders = []
+        for rank in GROUP.ranks:
+            step = self.step(self.now_ms - REPORT_LAG_MS)
+            report = RankReport(1, step, 0, prepared, None, None)
+            orders += self.take(ReportReceived(self.now_ms, rank, report))
+        return [*orders, *self.take(Tick(self.now_ms, True, 1 << 20))]
+
+    def outcome(self, order, outcome, rank="r0"):
+        return self.take(OrderOutcome(self.now_ms, rank, 1, order, outcome))
+
+    def hold(self):
+        (hold,) = self.wait(300, prepared=self.state.phase.version)
+        self.assertIsInstance(hold, Hold)
+        return hold
+
+    def test_the_switch_is_a_few_passes_ahead_of_the_pass_that_runs(self):
+        ahead = self.hold().step - self.step(self.now_ms)
+        self.assertGreater(ahead, 0)
+        self.assertLessEqual(ahead * PASS_MS, 500)
+
+    def test_a_hold_that_came_too_late_is_tried_for_a_later_pass(self):
+        first = self.hold()
+        (second,) = self.outcome(first, Outcome.REFUSED)
+        self.assertGreater(second.step, first.step)
+        armed = self.outcome(second, Outcome.DONE)
+        self.assertEqual({(type(o), o.step) for o in armed}, {(Arm, second.step)})
+
+    def test_a_foreign_held_pass_ends_the_change_before_it_holds_one(self):
+        held = RankReport(1, 200, 0, None, None, 210)
+        self.take(ReportReceived(self.now_ms, "r1", held))
+        orders = self.take(Tick(self.now_ms, True, 1 << 20))
+        self.assertFalse([order for order in orders if isinstance(order, Hold)])
+        self.assertEqual(type(self.state.phase).__name__, "Idle")
+
+
+if __name__ == "__main__":
+    unittest.main()
