--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -247,14 +247,15 @@
         """Return the answer to this request; skip late answers to earlier requests.
 
         On a connection that was used before, an answer without an id may be a late
-        copy of an earlier one.
+        copy of an earlier one; rejections may come without an id.
         """
         head_only = self._http_request.method == b"HEAD"
         while True:
             answer = connection.read_head(request.deadline_ms, head_request=head_only)
             fields = self._header_codec.answer_fields(answer)
             self._machine.record_answer(upstream, fields)
-            if fields.request_id is None and connection.was_used:
+            named = fields.request_id is not None or fields.not_run
+            if connection.was_used and not named:
                 raise ConnectionBroken("an answer without an id on a used connection")
             if fields.request_id in (None, request.request_id):
                 return answer, fields
