Require more of a copy of an expert the longer it takes

What: the threshold is 0.0004 of the peak for each ms that a copy takes by the published sizes, from 0.002 to 0.02.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -61,7 +61,8 @@
     """The sizes of a model's expert layers; ``places`` and ``spare`` are per rank.
 
     ``spare`` is how many experts may be added to a rank in one change of the map.
-    ``report_lag_ms`` is how old what a rank reports is.
+    ``report_lag_ms`` is how old what a rank reports is, ``copy_ms`` the time that an
+    expert takes to be copied to a rank.
     """
 
     layers: int
@@ -69,6 +70,7 @@
     places: int
     spare: int
     report_lag_ms: float = 300.0
+    copy_ms: float = 0.0
 
 
 class EngineModel(NamedTuple):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
@@ -14,7 +14,9 @@
 CANDIDATE_EXPERTS = 4  # the busiest rank's experts with the most tokens
 TARGET_RANKS = 4  # the least busy ranks
 MAX_MOVES = 5  # a rank copies an expert in 0.14 s; a load shift lasts some seconds
-MIN_GAIN_SHARE = 0.02  # of the peak; smaller gains are not worth a copy
+MAX_COPY_GAIN_SHARE = 0.02  # of the peak; a larger gain is worth any copy
+MIN_COPY_GAIN_SHARE = 0.002  # below it the next counts differ by more
+GAIN_SHARE_PER_COPY_MS = 0.0004  # copying slows the passes meanwhile
 
 
 class EvenSharePlan(NamedTuple):
@@ -26,14 +28,22 @@
 
 
 def plan_even_shares(
-    current: Slots, loads: Sequence[float], places: int, spare: int
+    current: Slots,
+    loads: Sequence[float],
+    places: int,
+    spare: int,
+    copy_ms: float = 0.0,
 ) -> EvenSharePlan:
     """Return slots for one layer that lower the busiest rank's tokens.
 
     ``places`` is the number of experts that a rank can hold, ``spare`` how many of
-    them may be new to it in one change.
+    them may be new to it in one change. The longer an expert takes to copy,
+    ``copy_ms``, the more a copy must gain.
     """
-    layer = _LayerPlanner(current, loads, places, spare)
+    min_gain = min(
+        max(GAIN_SHARE_PER_COPY_MS * copy_ms, MIN_COPY_GAIN_SHARE), MAX_COPY_GAIN_SHARE
+    )
+    layer = _LayerPlanner(current, loads, places, spare, min_gain)
     peak_before = layer.peak()
     for _ in range(MAX_MOVES):
         if not layer.improve():
@@ -45,8 +55,14 @@
     """The placement of one layer during its change."""
 
     def __init__(
-        self, current: Slots, loads: Sequence[float], places: int, spare: int
+        self,
+        current: Slots,
+        loads: Sequence[float],
+        places: int,
+        spare: int,
+        min_gain: float,
     ) -> None:
+        self._min_gain = min_gain
         self._loads = loads
         self._places = places
         self._spare = spare
@@ -82,7 +98,7 @@
         ]
         peak = self.peak()
         best = min(moves, key=self._peak_after, default=None)
-        if best is None or self._peak_after(best) > peak * (1 - MIN_GAIN_SHARE):
+        if best is None or self._peak_after(best) > peak * (1 - self._min_gain):
             return False
         self._apply_move(best)
         return True
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -120,7 +120,7 @@
         return state
     options = state.options
     plans = [
-        plan_even_shares(slots, layer, options.places, options.spare)
+        plan_even_shares(slots, layer, options.places, options.spare, options.copy_ms)
         for slots, layer in zip(state.layout, loads, strict=True)
     ]
     peak_before = sum(plan.peak_before for plan in plans)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -15,13 +15,15 @@
     ``identity`` is below ``IDENTITY_COUNT`` and unique among processes, so that no two
     give the same version to different maps. ``places`` is the number of experts that a
     rank can hold, ``spare`` how many may be new to it in one change.
-    ``report_lag_ms`` is how old a rank's report is when it is read.
+    ``report_lag_ms`` is how old a rank's report is when it is read, ``copy_ms`` the
+    time to copy an expert.
     """
 
     identity: int
     places: int
     spare: int
     report_lag_ms: float = 300.0
+    copy_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -136,6 +136,7 @@
                         layout.places,
                         layout.spare,
                         layout.report_lag_ms,
+                        layout.copy_ms,
                     )
                     self._rollouts[name] = rollout.State(options)
                 self._dispatch(name, GroupUpdated(now_ms, group))
--- a/tests/test_experts_rollout.py
+++ b/tests/test_experts_rollout.py
@@ -231,6 +231,20 @@
             self.assertEqual(len(new), len(set(new)))
         self.assertLessEqual(plan.peak_after, plan.peak_before * (1 + 1e-9))
 
+    def test_a_copy_that_takes_long_must_gain_more(self):
+        copies = Counter()
+        for seed in range(30):
+            weights = random.Random(seed)
+            loads = [weights.paretovariate(1.0) for _ in range(EXPERTS)]
+            for copy_ms in (0.0, 1_000.0):
+                plan = plan_even_shares(FIRST_MAP[0], loads, PLACES, SPARE, copy_ms)
+                copies[copy_ms] += sum(
+                    len(set(new) - set(old))
+                    for old, new in zip(FIRST_MAP[0], plan.slots, strict=True)
+                )
+        self.assertGreater(copies[0.0], copies[1_000.0])
+        self.assertGreater(copies[1_000.0], 30)
+
     def test_a_popular_expert_is_copied(self):
         loads = [10.0] + [1.0] * (EXPERTS - 1)
         plan = plan_even_shares(FIRST_MAP[0], loads, PLACES, SPARE)
