Switch far ahead while answers to orders are lost

What: if an order of a change got no answer while ranks copy, the pass of the switch is twelve passes ahead, as before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -44,6 +44,8 @@
     group, phase, rank = state.group, state.phase, event.rank
     if group is None or event.epoch != group.epoch or rank not in group.ranks:
         return state, ()
+    if event.outcome is Outcome.UNKNOWN and isinstance(phase, Preparing):
+        return update_phase(state, replace(phase, unanswered=True)), ()
     if event.outcome is Outcome.UNKNOWN or isinstance(phase, Idle):
         return state, ()
     if event.outcome is Outcome.FENCED:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -196,7 +196,8 @@
     reports = [state.reports[rank] for rank in state.group.ranks]
     read_ms, report = max(reports, key=lambda item: item[1].step)
     lead = MAX_SWITCH_LEAD_PASSES
-    if state.pass_ms:
+    # While answers to orders are lost, arming all ranks takes several tries.
+    if state.pass_ms and not state.phase.unanswered:
         age_ms = now_ms - read_ms + state.options.report_lag_ms
         lead = math.ceil(age_ms / state.pass_ms) + MIN_SWITCH_LEAD_PASSES
     return report.step + min(lead, MAX_SWITCH_LEAD_PASSES)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -35,12 +35,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Preparing:
-    """Ranks copy the experts that are new to them."""
+    """Ranks copy the experts that are new to them.
+
+    ``unanswered`` is whether an order of this change got no answer.
+    """
 
     version: int
     layout: Layout
     gain: float
     since_ms: Millis
+    unanswered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_direct_expert_maps.py
+++ b/tests/test_direct_expert_maps.py
@@ -20,6 +20,7 @@
     Options,
     OrderOutcome,
     Outcome,
+    Prepare,
     RankReport,
     ReportReceived,
     SendOrder,
@@ -111,6 +112,12 @@
         self.assertGreater(ahead, 0)
         self.assertLessEqual(ahead * PASS_MS, 500)
 
+    def test_while_answers_to_orders_are_lost_the_switch_is_far_ahead(self):
+        """Else the pass is held for as long as the ranks are armed in several tries."""
+        self.outcome(Prepare(self.state.phase.version, LAYOUT), Outcome.UNKNOWN)
+        ahead = self.hold().step - self.step(self.now_ms)
+        self.assertGreaterEqual(ahead * PASS_MS, 600)
+
     def test_a_hold_that_came_too_late_is_tried_for_a_later_pass(self):
         first = self.hold()
         (second,) = self.outcome(first, Outcome.REFUSED)
