Let the soak find a list that ends the belief that a runner leaves

What: `run_steps` runs given steps; the new test takes two runners out, writes and forgets six times.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -156,7 +156,7 @@
 
 
 def part_report(state: State) -> PartReport:
-    """Return what this entry tells its peers."""
+    """Return what this entry reports of prompt parts."""
     evidence = state.parts
     suspected = frozenset(evidence.counts) | frozenset(evidence.blames)
     in_flight = _own_parts_in_flight(state) & suspected if suspected else frozenset()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -11,8 +11,9 @@
 blamed if its presence in all of them is unlikely to be chance.
 """
 
+from collections.abc import Callable
 from math import prod
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from immutables import Map
 
@@ -53,7 +54,7 @@
 
 
 class PartReport(NamedTuple):
-    """What an entry tells its peers, by part.
+    """What an entry reports of prompt parts.
 
     ``crashes`` are its own. ``begun`` is when an answer with a suspected part last
     began, at any entry. ``in_flight`` are the suspected parts of its requests.
@@ -160,7 +161,9 @@
     )
 
 
-def most_recent(found: Map, at_ms=lambda value: value) -> Map:
+def most_recent(
+    found: Map[str, Any], at_ms: Callable[[Any], Millis] = lambda value: value
+) -> Map[str, Any]:
     """Return the entries with the latest times, as many as a report may hold."""
     if len(found) <= MAX_REPORTED_PARTS:
         return found
@@ -168,7 +171,12 @@
     return Map(latest[:MAX_REPORTED_PARTS])
 
 
-def _newer(found: Map, oldest_ms: Millis, at_ms=lambda value: value) -> Map:
+def _newer(
+    found: Map[str, Any],
+    oldest_ms: Millis,
+    at_ms: Callable[[Any], Millis] = lambda value: value,
+) -> Map[str, Any]:
+    """Return the entries whose time is not before ``oldest_ms``."""
     expired = [key for key, value in found.items() if at_ms(value) < oldest_ms]
     for key in expired:
         found = found.delete(key)
--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,6 +1,6 @@
 """Run real entries against fakes, with faults drawn from a seed."""
 
-from soak._run import Outcome, run
-from soak._schedule import Step, plan
+from soak._run import Outcome, run, run_steps
+from soak._schedule import Action, Step, plan
 
-__all__ = ["Outcome", "Step", "plan", "run"]
+__all__ = ["Action", "Outcome", "Step", "plan", "run", "run_steps"]
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -36,7 +36,12 @@
 def run(seed: int, *, steps: int = STEPS, entries: int = ENTRIES) -> Outcome:
     """Run one seed to its end and return the outcome."""
     notices = plan_notices(seed, steps // NOTICE_INTERVAL, DURATION_S)
-    schedule = tuple(sorted((*plan(seed, steps, DURATION_S), *notices)))
+    return run_steps(seed, (*plan(seed, steps, DURATION_S), *notices), entries=entries)
+
+
+def run_steps(seed: int, steps: tuple[Step, ...], *, entries: int = ENTRIES) -> Outcome:
+    """Run the given steps with the callers of a seed."""
+    schedule = tuple(sorted(steps))
     with tempfile.TemporaryDirectory() as folder:
         site = SoakSite(pathlib.Path(folder), entries)
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 import gevent
 
 from fakes.runners import Arrival
-from soak import plan, run
+from soak import Action, Step, plan, run, run_steps
 from soak._guarantees import (
     ReceivedResponse,
     SentRequest,
@@ -33,6 +33,22 @@
                 self.assertGreater(outcome.statuses["stream 200"], 0)
                 self.assertGreater(outcome.statuses["push 200"], 0)
 
+    def test_leaving_runners_get_nothing_although_they_are_listed_again(self):
+        """Guard against a new list that ends the belief that a runner leaves."""
+        leave = [Step(0.5, Action.LEAVE, target, 4.0) for target in (0, 1)]
+        # What is published just before the store forgets makes entries list anew.
+        lists = [
+            Step(3.2 + n * 0.5 + later_s, action, 0, 0.0)
+            for n in range(6)
+            for later_s, action in (
+                (0.0, Action.PUBLISH),
+                (0.08, Action.PUBLISH),
+                (0.12, Action.FORGET),
+            )
+        ]
+        outcome = run_steps(SHORT_SEED, (*leave, *lists))
+        self.assertEqual(outcome.violations, ())
+
     def test_a_schedule_follows_its_seed(self):
         self.assertEqual(plan(3, 20, 8.0), plan(3, 20, 8.0))
         self.assertNotEqual(plan(3, 20, 8.0), plan(4, 20, 8.0))
