Reset busy connections only at the end of a stop

Cause, found by reading the change: the end of a stop reset every connection that was left, and an idle one may still have the last bytes of a complete answer to deliver. The margin on the lag of reports was half of the lag that today's deployments publish; it is a factor on the published lag now, which gives the same 300 ms there.

Test: an idle connection goes on after `reset_if_busy`, a busy one is reset.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_phases.py
@@ -16,7 +16,7 @@
 Transition = tuple[State, tuple[Effect, ...]]
 IDENTITY_COUNT = 65_536
 MAX_REPORT_AGE_MS = 1_400  # covers one missed report while idle
-REPORT_LAG_MARGIN_MS = 100  # half of the published lag, since it varies
+REPORT_LAG_FACTOR = 1.5  # on the published lag, since it varies
 BACKOFF_MS = 2_000  # after an abandoned change
 FENCE_MARGIN_REVISIONS = 100_000  # store revisions; no entry lags that far behind
 
@@ -57,7 +57,7 @@
 
 def distrust_reports(state: State, now_ms: Millis) -> State:
     """Wait for reports of what ranks do from now on."""
-    lag_ms = math.ceil(state.options.report_lag_ms) + REPORT_LAG_MARGIN_MS
+    lag_ms = math.ceil(state.options.report_lag_ms * REPORT_LAG_FACTOR)
     return state._replace(trusted_from_ms=now_ms + lag_ms)
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -119,9 +119,9 @@
     to a later time while a rank copies, to delay the retry. ``fence`` is the fencing
     number of the change: a process that begins later has a higher one, and a rank
     refuses orders with a lower one than it has seen. ``fence_floor`` is above the last
-    fence that was refused.``pass_ms`` is the mean time of a pass, 0 if unknown. Reports
-    that were read before ``trusted_from_ms`` may show what an earlier leader, or this
-    process, has changed since.
+    fence that was refused. ``pass_ms`` is the mean time of a pass, 0 if unknown.
+    Reports that were read before ``trusted_from_ms`` may show what an earlier leader,
+    or this process, has changed since.
     """
 
     options: Options
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -169,8 +169,13 @@
             self._closing = True
             self._shut_down(socket.SHUT_RDWR)
 
-    def reset(self) -> None:
-        """Reset the connection, so that a partial answer cannot look complete."""
+    def reset_if_busy(self) -> None:
+        """Reset the connection if a partial answer could look complete.
+
+        An idle one may still have to deliver the last bytes of a complete answer.
+        """
+        if not self.is_busy:
+            return
         with contextlib.suppress(OSError):  # already closed
             reset_on_close(self._socket)
         self._socket.close()
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -247,7 +247,7 @@
             gevent.sleep(TICK_INTERVAL_S)
         done = not self._has_busy_callers()
         for connection in tuple(self._connections):
-            connection.reset()
+            connection.reset_if_busy()
         self._log.emit("drained" if done else "drain-timed-out")
         return ExitCode.OK if done else ExitCode.DRAIN_TIMED_OUT
 
--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -35,6 +35,19 @@
         self.connection.run()
         self.assertEqual(self.served, [])
 
+    def test_a_stop_resets_no_idle_connection(self):
+        """Guard against a reset that overtakes the last bytes of an answer."""
+        self.connection.reset_if_busy()
+        running = gevent.spawn(self.connection.run)
+        self.caller.sendall(REQUEST)
+        self.assertTrue(self.caller.recv(100).startswith(b"HTTP/1.1 200"))
+        self.caller.sendall(REQUEST[:9])
+        gevent.sleep(0.01)
+        self.connection.reset_if_busy()
+        with self.assertRaises(ConnectionResetError):
+            self.caller.recv(100)
+        running.join(2)
+
     def test_started_request_is_served_before_the_close(self):
         running = gevent.spawn(self.connection.run)
         self.caller.sendall(REQUEST[:9])
