Show the retry budget of each service in logs and metrics

Nothing told what an entry had spent of the retry budget, what bounded it, how many entries shared it or how many retries waited, so the five hypotheses on the incident could not be told apart from the logs. NS2108 stands beside the NS2101 of each retry, NS2102 tells whether the failed attempt met an exhausted budget, and two gauges show retries and their limit by service. The check itself reads the same value; no decision changes (the tests of direct serving and of log lines pass; two new ones fail without the lines and gauges).

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of an entry that sends to published upstreams without a sidecar."""
 
+from nutmegslip_decisions.direct._budget import RetryBudget, retry_budget
 from nutmegslip_decisions.direct._crash_parts import SUSPECT_CRASHES, part_report
 from nutmegslip_decisions.direct._event_splitter import EventSplitter
 from nutmegslip_decisions.direct._events import (
@@ -102,6 +103,7 @@
     "RequestKind",
     "RequestLimits",
     "ResponseStarted",
+    "RetryBudget",
     "Route",
     "Send",
     "Service",
@@ -130,5 +132,6 @@
     "next_tenure",
     "part_report",
     "reduce",
+    "retry_budget",
     "standing_of",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
@@ -4,6 +4,8 @@
 failure causes a retry: retries are limited to a fixed share of arriving requests.
 """
 
+from typing import NamedTuple
+
 from nutmegslip_decisions.direct._state import (
     BUDGET_BUCKET_MS,
     ServiceLoad,
@@ -16,6 +18,24 @@
 INITIAL_START_MS = 50.0
 
 
+class RetryBudget(NamedTuple):
+    """The retries of a service in the budget window, and what bounds them.
+
+    ``retries`` were sent by this entry, which may send ``allowed``. ``waiting`` are
+    queued for a slot. ``entries`` is the count of entries that share the slack.
+    """
+
+    retries: int
+    allowed: float
+    waiting: int
+    entries: int
+
+    @property
+    def is_spent(self) -> bool:
+        """Return whether one more retry exceeds what is allowed."""
+        return self.retries + 1 > self.allowed
+
+
 def load_of(state: State, service: str) -> ServiceLoad:
     """Return the load of a service as measured by this entry."""
     found = state.loads.get(service)
@@ -39,10 +59,18 @@
     return state._replace(loads=state.loads.set(service, changed))
 
 
-def has_retry_budget(state: State, service: str, now_ms: Millis) -> bool:
-    """Return whether this entry's share of the budget allows one more retry."""
+def retry_budget(state: State, service: str, now_ms: Millis) -> RetryBudget:
+    """Return the retry budget of a service at this entry."""
     load = load_of(state, service)
     options = state.options
-    slack = options.budget_slack / state.entry_count()
-    allowed = options.budget_ratio * load.arrivals.count(now_ms) + slack
-    return load.retries.count(now_ms) + 1 <= allowed
+    entries = state.entry_count()
+    earned = options.budget_ratio * load.arrivals.count(now_ms)
+    waiting = sum(
+        state.requests[ticket].reached > 0 for ticket in state.waiting.get(service, ())
+    )
+    return RetryBudget(
+        load.retries.count(now_ms),
+        earned + options.budget_slack / entries,
+        waiting,
+        entries,
+    )
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
@@ -5,7 +5,7 @@
 again, within its route's attempts, the retry budget and its deadline.
 """
 
-from nutmegslip_decisions.direct._budget import has_retry_budget
+from nutmegslip_decisions.direct._budget import retry_budget
 from nutmegslip_decisions.direct._events import (
     Broken,
     Declined,
@@ -29,7 +29,7 @@
     """Return whether a request may be sent to another upstream."""
     if now_ms + MIN_REMAINING_MS > request.deadline_ms:
         return False
-    if request.reached and not has_retry_budget(state, request.service, now_ms):
+    if request.reached and retry_budget(state, request.service, now_ms).is_spent:
         return False
     match failure:
         case NotSent() | Declined(misdirected=True):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -9,6 +9,7 @@
     Pause,
 )
 from nutmegslip_entry.direct._log_lines import log_lines
+from nutmegslip_entry.direct._metrics import Metrics
 from nutmegslip_entry.direct._pool import Pool
 from nutmegslip_entry.direct._program import Program
 from nutmegslip_entry.direct._settings import Settings, SettingsError, read_settings
@@ -20,6 +21,7 @@
     "Connection",
     "ExpertCounts",
     "HeaderCodec",
+    "Metrics",
     "Pause",
     "Pool",
     "Program",
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -31,6 +31,7 @@
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
+    retry_budget,
 )
 
 FieldValue = str | int | float | bool
@@ -213,6 +214,8 @@
                     "left_ms": request.deadline_ms - request.sent_at_ms,
                 },
             )
+            if request.reached:
+                yield _retry_line(request, after)
         case Refuse(ticket, kind, ran, retry_after_ms):
             yield LogLine(
                 "request-refused",
@@ -224,12 +227,39 @@
                     "version": version,
                     "waiting": sum(len(queue) for queue in before.waiting.values()),
                     "in_hand": len(before.requests),
+                    "retries_spent": _is_budget_spent(event, before),
                 },
             )
         case DeliverFailure(ticket):
             yield LogLine("failure-delivered", _request_id(event, before, ticket), {})
 
 
+def _retry_line(request: Request, after: State) -> LogLine:
+    """Return the line of a retry, with the budget of which it is a part."""
+    budget = retry_budget(after, request.service, request.sent_at_ms)
+    return LogLine(
+        "request-retried",
+        request.request_id,
+        {
+            "service": request.service,
+            "retries": budget.retries,
+            "allowed": round(budget.allowed, 1),
+            "waiting": budget.waiting,
+            "entries": budget.entries,
+        },
+    )
+
+
+def _is_budget_spent(event: Event, state: State) -> bool:
+    """Return whether a failed attempt met an exhausted retry budget."""
+    if not isinstance(event, AttemptFailed):
+        return False
+    request = state.requests.get(event.ticket)
+    if request is None:
+        return False
+    return retry_budget(state, request.service, event.now_ms).is_spent
+
+
 def _reason(failure: Failure) -> str:
     match failure:
         case NotSent(detail) | Broken(detail):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -2,7 +2,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from nutmegslip_decisions.direct import State
+from nutmegslip_decisions.direct import State, retry_budget
+from nutmegslip_decisions.model import Millis
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
 
@@ -39,6 +40,18 @@
             "The version in force.",
             registry=self.registry,
         )
+        self._retries = Gauge(
+            "nutmegslip_retries",
+            "Retries that this entry sent in the budget window.",
+            ["service"],
+            registry=self.registry,
+        )
+        self._retries_allowed = Gauge(
+            "nutmegslip_retries_allowed",
+            "Retries that this entry may send in the budget window.",
+            ["service"],
+            registry=self.registry,
+        )
         self._blamed_parts = Gauge(
             "nutmegslip_blamed_parts",
             "Prompt parts that crash upstreams; requests with them are refused.",
@@ -53,7 +66,7 @@
         """Record the duration of one served request."""
         self._request_seconds.observe(milliseconds / 1_000)
 
-    def update_gauges(self, state: State, store_calls: int) -> None:
+    def update_gauges(self, state: State, store_calls: int, now_ms: Millis) -> None:
         """Set the gauges from a state."""
         configuration = state.configuration
         self._in_flight.set(len(state.requests))
@@ -61,3 +74,7 @@
         self._store_calls.set(store_calls)
         self._version.set(configuration.version if configuration else 0)
         self._blamed_parts.set(len(state.parts.blames))
+        for service in state.loads:
+            budget = retry_budget(state, service, now_ms)
+            self._retries.labels(service).set(budget.retries)
+            self._retries_allowed.labels(service).set(budget.allowed)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -191,7 +191,9 @@
         caller.answer(200 if ready else 503, [], b"")
 
     def _serve_metrics(self, caller: Caller, _request: HttpRequest) -> None:
-        self._metrics.update_gauges(self._machine.state, self._feed.calls)
+        self._metrics.update_gauges(
+            self._machine.state, self._feed.calls, boottime_ms()
+        )
         caller.answer(
             200, [METRICS_CONTENT_TYPE], generate_latest(self._metrics.registry)
         )
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -269,7 +269,15 @@
         Level.WARNING,
         "The entry refused the request.",
         "Run 'explain' with the kind in this line.",
-        ("kind", "ran", "retry_after_ms", "version", "waiting", "in_hand"),
+        (
+            "kind",
+            "ran",
+            "retry_after_ms",
+            "version",
+            "waiting",
+            "in_hand",
+            "retries_spent",
+        ),
     ),
     EventKind(
         2103,
@@ -309,4 +317,12 @@
         "The program failed on a request and closed the caller's connection.",
         "Report it as a bug, with this line and its traceback.",
     ),
+    EventKind(
+        2108,
+        "request-retried",
+        Level.INFO,
+        "The request, sent by the line before, is a retry and draws on the budget.",
+        "If 'retries' reaches 'allowed', look for upstreams that fail.",
+        ("service", "retries", "allowed", "waiting", "entries"),
+    ),
 )
--- a/tests/test_direct_log_lines.py
+++ b/tests/test_direct_log_lines.py
@@ -1,6 +1,7 @@
 """Test that each decision is logged with its request and its inputs."""
 
 import unittest
+from functools import partial
 from types import SimpleNamespace
 
 from nutmegslip_platform._ranks import HttpRankClient
@@ -15,6 +16,7 @@
     Errored,
     GroupRank,
     NotSent,
+    Options,
     PaceMeasured,
     RequestArrived,
     RequestEnded,
@@ -22,7 +24,7 @@
     StoreLost,
     UpstreamPublished,
 )
-from nutmegslip_entry.direct import Pool, log_lines
+from nutmegslip_entry.direct import Metrics, Pool, log_lines
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.eventlog import event_named
 from tests.direct_world import HOST, KEY, World, upstream
@@ -106,6 +108,34 @@
         lost = self._fields(StoreLost(self.world.now_ms, "it answered 503"))
         self.assertEqual(lost, {"reason": "it answered 503"})
 
+    def test_a_retry_and_a_refusal_show_the_retry_budget(self):
+        options = Options("entry-1", budget_ratio=0.0, budget_slack=1.0)
+        self.world = World(upstream("u1"), upstream("u2"), options=options)
+        found = {}
+        for ticket in (1, 2):
+            self._arrive(ticket, "/lookups/1")
+            event = AttemptFailed(self.world.now_ms, ticket, Broken())
+            before = self.world.state
+            self.world.state, effects = direct.reduce(before, event)
+            for line in log_lines(event, before, self.world.state, effects):
+                found[ticket, line.name] = line.fields
+        budget = {"service": "board", "retries": 1, "allowed": 1.0}
+        self.assertEqual(
+            found[1, "request-retried"], budget | {"waiting": 0, "entries": 1}
+        )
+        self.assertNotIn((2, "request-retried"), found)
+        self.assertTrue(found[2, "request-refused"]["retries_spent"])
+
+    def test_metrics_show_the_retry_budget(self):
+        world = self.world = World(upstream("u1"), upstream("u2"))
+        self._arrive(1, "/lookups/1")
+        self._lines(AttemptFailed(world.now_ms, 1, Broken()))
+        metrics = Metrics()
+        metrics.update_gauges(world.state, 0, world.now_ms)
+        read = partial(metrics.registry.get_sample_value, labels={"service": "board"})
+        self.assertEqual(read("nutmegslip_retries"), 1)
+        self.assertEqual(read("nutmegslip_retries_allowed"), 100.1)
+
     def _fields(self, event):
         before = self.world.state
         self.world.state, effects = direct.reduce(before, event)
