Reserve the retry budget for retries that wait for a slot

Cause: the budget was checked when an attempt failed and charged when a slot was free, so all requests that failed together passed the same check.

A queued retry now counts from the decision on, and the budget is checked once more when it is sent. What the budget no longer allows is refused at once, the last in the queue first, as nothing would come of its wait. It is charged when it is sent, not at the decision: a stream may wait for seconds, and the rule counts arrivals at upstreams.

Before: test_retries_that_wait_for_a_slot sent 10 retries of 3 allowed. After: 3, and 7 refused at their failure; a second test refuses six whose requests leave the window while they wait.

The same cause elsewhere: looked for in the other limits of direct serving. The cold limit, pauses, suspected groups and blamed parts are read and charged in the step that sends. The retry budget of the product's own interface is charged at the decision (retries/_reduce.py), its cold gate and limits too.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
@@ -2,8 +2,11 @@
 
 Answers the load pattern in which an upstream or a whole service fails and each
 failure causes a retry: retries are limited to a fixed share of arriving requests.
+A retry that waits for a slot counts from the decision on, so that requests which fail
+together do not all pass the same check.
 """
 
+import math
 from typing import NamedTuple
 
 from nutmegslip_decisions.direct._state import (
@@ -34,8 +37,18 @@
 
     @property
     def is_spent(self) -> bool:
-        """Return whether one more retry exceeds what is allowed."""
-        return self.retries + 1 > self.allowed
+        """Return whether one more retry exceeds what is allowed, after the queued."""
+        return self.retries + self.waiting + 1 > self.allowed
+
+    @property
+    def allows_send(self) -> bool:
+        """Return whether a queued retry may be sent."""
+        return self.retries + 1 <= self.allowed
+
+    @property
+    def excess(self) -> int:
+        """Return how many of the queued retries exceed what is allowed."""
+        return max(math.ceil(self.retries + self.waiting - self.allowed), 0)
 
 
 def load_of(state: State, service: str) -> ServiceLoad:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -1,6 +1,6 @@
 """Send, queue or refuse requests."""
 
-from nutmegslip_decisions.direct._budget import count_retry
+from nutmegslip_decisions.direct._budget import count_retry, retry_budget
 from nutmegslip_decisions.direct._choice import Capacity, capacity_of, choose
 from nutmegslip_decisions.direct._crash_parts import (
     Gate,
@@ -65,13 +65,22 @@
 
 
 def _has_sendable(state: State, service: str, now_ms: Millis) -> bool:
-    """Return whether a queued request waits for a slot, not for another request."""
+    """Return whether a queued request waits for a slot and nothing else."""
     return any(
-        part_gate(state, state.requests[ticket], now_ms) is Gate.OPEN
+        _is_sendable(state, state.requests[ticket], now_ms)
         for ticket in state.waiting.get(service, ())
     )
 
 
+def _is_sendable(state: State, request: Request, now_ms: Millis) -> bool:
+    """Return whether a queued request may be sent as soon as a slot is free."""
+    if part_gate(state, request, now_ms) is not Gate.OPEN:
+        return False
+    if not request.reached:
+        return True
+    return retry_budget(state, request.service, now_ms).allows_send
+
+
 def dispatch_all(state: State, now_ms: Millis) -> Step:
     """Send queued requests of all services."""
     effects: tuple[Effect, ...] = ()
@@ -95,7 +104,7 @@
         request = state.requests[ticket]
         if request.deadline_ms <= now_ms:
             continue  # expired, as after a suspension; the next tick refuses it
-        if part_gate(state, request, now_ms) is not Gate.OPEN:
+        if not _is_sendable(state, request, now_ms):
             continue
         upstream = choose(state, capacity, request, now_ms)
         if upstream is None:
@@ -113,8 +122,10 @@
     for service, queue in state.waiting.items():
         if not queue:
             continue
+        state, more = _refuse_excess_retries(state, service, now_ms)
+        effects += more
         capacity = capacity_of(state, service, now_ms)
-        for ticket in queue:
+        for ticket in state.waiting[service]:
             request = state.requests[ticket]
             kind = _overdue_kind(state, request, capacity, now_ms)
             if kind is None:
@@ -124,6 +135,18 @@
     return state, effects
 
 
+def _refuse_excess_retries(state: State, service: str, now_ms: Millis) -> Step:
+    """Refuse queued retries, the last first, that the budget no longer allows."""
+    effects: tuple[Effect, ...] = ()
+    excess = retry_budget(state, service, now_ms).excess
+    queue = reversed(state.waiting[service])
+    retries = [t for t in queue if state.requests[t].reached]
+    for ticket in retries[:excess]:
+        state, more = refuse_failed(state, state.requests[ticket], now_ms)
+        effects += more
+    return state, effects
+
+
 def _overdue_kind(
     state: State, request: Request, capacity: Capacity, now_ms: Millis
 ) -> RefusalKind | None:
@@ -156,6 +179,12 @@
     return remove_request(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
 
 
+def refuse_failed(state: State, request: Request, now_ms: Millis) -> Step:
+    """Refuse a request whose last attempt failed and that is not sent again."""
+    kind = RefusalKind.BROKEN if request.may_have_run else RefusalKind.DECLINED
+    return refuse(state, request, kind, now_ms)
+
+
 def remove_request(state: State, request: Request) -> State:
     """Remove a request from the state and its queue."""
     state = dequeue(state, request)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -10,7 +10,7 @@
 from nutmegslip_decisions.direct._dispatch import (
     Step,
     dispatch,
-    refuse,
+    refuse_failed,
     remove_request,
     send_or_queue,
 )
@@ -139,8 +139,7 @@
             (DeliverFailure(request.ticket),),
         )
     else:
-        kind = RefusalKind.BROKEN if request.may_have_run else RefusalKind.DECLINED
-        state, effects = refuse(state, request, kind, now_ms)
+        state, effects = refuse_failed(state, request, now_ms)
     state, more = dispatch(state, request.service, now_ms)
     return state, (*effects, *more)
 
--- a/tests/test_direct_retry_budget.py
+++ b/tests/test_direct_retry_budget.py
@@ -8,8 +8,10 @@
     Declined,
     GroupRank,
     Options,
+    Refuse,
     RequestEnded,
     Send,
+    Tick,
 )
 from tests.direct_world import World, upstream
 from tests.retry_budget_world import Fleet, Load
@@ -73,9 +75,12 @@
         )
         sent = [world.arrive("/verses/1")[0] for _ in range(20)]
         lost = [effect.request.ticket for effect in sent if effect.upstream.id == "g1"]
+        refused = []
         for ticket in lost:
             failure = Declined(at_fault="g1")
-            world.take(AttemptFailed(world.now_ms, ticket, failure, streaming=True))
+            failed = AttemptFailed(world.now_ms, ticket, failure, streaming=True)
+            refused += world.take(failed)
+        self.assertEqual([type(effect) for effect in refused], [Refuse] * 7)
         retried = [
             effect
             for held in sent
@@ -86,6 +91,20 @@
         ]
         self.assertEqual([type(effect) for effect in retried], [Send] * 3)
 
+    def test_retries_whose_budget_ends_while_they_wait(self):
+        options = Options("entry-1", budget_ratio=0.5, budget_window_ms=2_000)
+        names = ("m1", "m2")
+        world = World(*(upstream(n, "model", slots=10) for n in names), options=options)
+        sent = [world.arrive("/verses/1")[0] for _ in range(20)]
+        world.now_ms += 1_500
+        lost = [effect.request.ticket for effect in sent if effect.upstream.id == "m1"]
+        for ticket in lost[:6]:
+            failed = AttemptFailed(world.now_ms, ticket, Broken(), streaming=True)
+            self.assertEqual(world.take(failed), ())
+        world.now_ms += 1_000
+        effects = world.take(Tick(world.now_ms))
+        self.assertEqual([type(effect) for effect in effects], [Refuse] * 6)
+
 
 if __name__ == "__main__":
     unittest.main()
