Remember over restarts what entries have spent of the retry budget

Cause: the windows live in the process, so each new one had its whole share of the slack and of later requests, whatever its predecessor had sent within the same ten seconds.

Entries now report what they have spent, and remember it of processes that ended or fell silent, by an id of the process, until it leaves the window. A new process counts what earlier ones at its address have sent, and retries nothing until a peer that has run for a whole window has told it, or until the window has passed. The platform says when a start is the first one.

Ruled out: earning from new requests alone without asking, since a budget that was spent just before the kill is then spent up to twice; keeping half of the slack for such a start, which costs a tenth of all retries at all times.

An entry of an earlier build reads the reports, and is not taken for one that remembers.

Up to 100 ms of retries, those since the last report, are not remembered.

--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -29,6 +29,7 @@
 host = "{name}"
 zone = "a"
 metrics_port = {metrics}
+first_start = {first_start}
 [listen]
 callers = "{ip}:{callers}"
 ready = "{ip}:{ready}"
@@ -87,11 +88,15 @@
         self.settings = folder / f"{name}.toml"
         self._process: subprocess.Popen | None = None
         seed_list = ", ".join(f'"{seed}:{self.ports.peers}"' for seed in seeds)
-        self.settings.write_text(
-            _SETTINGS.format(
-                name=name, ip=ip, store=store, seeds=seed_list, **self.ports._asdict()
-            )
-        )
+        self._first_start = True
+        self._fields = {
+            "name": name,
+            "ip": ip,
+            "store": store,
+            "seeds": seed_list,
+            **self.ports._asdict(),
+        }
+        self._write_settings()
 
     @property
     def is_running(self) -> bool:
@@ -100,6 +105,8 @@
 
     def start(self) -> None:
         """Start the process."""
+        self._write_settings()
+        self._first_start = False
         with self.log.open("a") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "platform/entry.py"],
@@ -109,6 +116,12 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def _write_settings(self) -> None:
+        first_start = "true" if self._first_start else "false"
+        self.settings.write_text(
+            _SETTINGS.format(first_start=first_start, **self._fields)
+        )
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._process.send_signal(number)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -45,7 +45,8 @@
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
-from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._spending import spending_report
+from nutmegslip_decisions.direct._state import Process, State
 from nutmegslip_decisions.direct._store_position import (
     StorePosition,
     Verdict,
@@ -55,6 +56,7 @@
     Account,
     CallerRequest,
     Configuration,
+    EndedProcess,
     EngineModel,
     ExpertLayout,
     GroupRank,
@@ -63,6 +65,7 @@
     RequestLimits,
     Route,
     Service,
+    SpendingReport,
     Standing,
     Target,
     Upstream,
@@ -81,6 +84,7 @@
     "Declined",
     "DeliverFailure",
     "Effect",
+    "EndedProcess",
     "EngineModel",
     "Errored",
     "Event",
@@ -95,6 +99,7 @@
     "PaceMeasured",
     "PartReport",
     "PeerReported",
+    "Process",
     "RefusalKind",
     "Refuse",
     "Request",
@@ -107,6 +112,7 @@
     "Route",
     "Send",
     "Service",
+    "SpendingReport",
     "Standing",
     "State",
     "StoreLost",
@@ -133,5 +139,6 @@
     "part_report",
     "reduce",
     "retry_budget",
+    "spending_report",
     "standing_of",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
@@ -9,6 +9,10 @@
 import math
 from typing import NamedTuple
 
+from nutmegslip_decisions.direct._spending import (
+    ended_retries,
+    knows_earlier_retries,
+)
 from nutmegslip_decisions.direct._state import (
     BUDGET_BUCKET_MS,
     ServiceLoad,
@@ -20,13 +24,13 @@
 INITIAL_HOLD_MS = 50.0  # where the moving averages of a service start
 INITIAL_START_MS = 50.0
 EARNED_SHARE = 0.9  # entries reach their limits at the peaks of their own requests
-LATE_ARRIVAL_MS = 500  # at an upstream, after one retransmission on a lossy link
 
 
 class RetryBudget(NamedTuple):
     """The retries of a service in the budget window, and what bounds them.
 
-    ``retries`` were sent by this entry, which may send ``allowed``. ``waiting`` are
+    ``retries`` were sent by this entry, earlier processes included, which may send
+    ``allowed``. ``waiting`` are
     queued for a slot. ``entries`` is the count of entries that share the slack.
     """
 
@@ -56,9 +60,8 @@
     found = state.loads.get(service)
     if found is not None:
         return found
-    window_ms = state.options.budget_window_ms
-    arrivals = Window(BUDGET_BUCKET_MS, window_ms)
-    retries = Window(BUDGET_BUCKET_MS, window_ms + LATE_ARRIVAL_MS)
+    arrivals = Window(BUDGET_BUCKET_MS, state.options.budget_window_ms)
+    retries = Window(BUDGET_BUCKET_MS, state.options.retry_window_ms)
     return ServiceLoad(arrivals, retries, INITIAL_HOLD_MS, INITIAL_START_MS)
 
 
@@ -90,9 +93,8 @@
     waiting = sum(
         state.requests[ticket].reached > 0 for ticket in state.waiting.get(service, ())
     )
-    return RetryBudget(
-        load.retries.count(now_ms),
-        earned + options.budget_slack / entries,
-        waiting,
-        entries,
-    )
+    allowed = earned + options.budget_slack / entries
+    if not knows_earlier_retries(state, now_ms):
+        allowed = 0.0
+    retries = load.retries.count(now_ms) + ended_retries(state, service)
+    return RetryBudget(retries, allowed, waiting, entries)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -11,6 +11,7 @@
     CallerRequest,
     Configuration,
     Request,
+    SpendingReport,
     Standing,
     Upstream,
 )
@@ -18,6 +19,7 @@
 
 _NO_PARTS = PartReport()
 _NO_STANDING = Standing()
+_NO_SPENDING = SpendingReport()
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,13 +123,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReported:
-    """Another entry reported its requests in flight, by upstream, and suspect parts."""
+    """Another entry reported its requests in flight, by upstream, and what it knows."""
 
     now_ms: Millis
     peer: str
     in_flight: Map[str, int]
     parts: PartReport = _NO_PARTS
     standing: Standing = _NO_STANDING
+    spending: SpendingReport = _NO_SPENDING
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+LATE_ARRIVAL_MS = 500  # at an upstream, after one retransmission on a lossy link
+
 
 class Options(NamedTuple):
     """The limits of a deployment and the options of an entry.
@@ -23,3 +25,8 @@
     cold_multiplier: float = 1.0
     cold_slack: float = 0.0
     rejoin_ms: int = 2_000
+
+    @property
+    def retry_window_ms(self) -> int:
+        """Return for how long a retry counts, from its sending on."""
+        return self.budget_window_ms + LATE_ARRIVAL_MS
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -7,6 +7,10 @@
 
 from immutables import Map
 
+from nutmegslip_decisions.direct._spending import (
+    with_silent_peer,
+    with_spending_report,
+)
 from nutmegslip_decisions.direct._state import PeerReport, State
 from nutmegslip_decisions.model import Millis
 
@@ -20,6 +24,7 @@
     peer_in_flight = _with_counts_replaced(
         state.peer_in_flight, old.in_flight if old else Map(), report.in_flight
     )
+    state = with_spending_report(state, peer, old, report.spending)
     peers = state.peers.set(peer, report)
     return state._replace(peers=peers, peer_in_flight=peer_in_flight)
 
@@ -27,7 +32,10 @@
 def without_stale(state: State, now_ms: Millis) -> State:
     """Drop the counts of stale peers, and remove expired peers."""
     for peer, report in state.peers.items():
-        if report.in_flight and report.received_ms + STALE_AFTER_MS <= now_ms:
+        if report.received_ms + STALE_AFTER_MS > now_ms:
+            continue
+        state = with_silent_peer(state, peer, report)
+        if report.in_flight:
             state = state._replace(
                 peers=state.peers.set(peer, report._replace(in_flight=Map())),
                 peer_in_flight=_with_counts_replaced(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -58,6 +58,7 @@
     without_copy,
     without_withheld,
 )
+from nutmegslip_decisions.direct._spending import without_expired_ends
 from nutmegslip_decisions.direct._starting import (
     admit_all,
     admit_when_started,
@@ -86,9 +87,9 @@
             return finish(state, ticket, answered, now_ms)
         case Tick(now_ms):
             return _tick(state, now_ms)
-        case PeerReported(now_ms, peer, in_flight, parts, standing):
+        case PeerReported(now_ms, peer, in_flight, parts, standing, spending):
             old = state.peers.get(peer)
-            report = PeerReport(now_ms, in_flight, parts, standing)
+            report = PeerReport(now_ms, in_flight, parts, standing, spending)
             state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
@@ -132,6 +133,7 @@
     state = without_stale(without_lapsed(state, now_ms), now_ms)
     state = without_forgotten(without_copy(state, now_ms), now_ms)
     state = without_expired_parts(state, now_ms)
+    state = without_expired_ends(state, now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -10,7 +10,9 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    EndedProcess,
     Request,
+    SpendingReport,
     Standing,
     Upstream,
 )
@@ -46,6 +48,15 @@
     in_flight: Map[str, int]
     parts: PartReport = PartReport()
     standing: Standing = Standing()
+    spending: SpendingReport = SpendingReport()
+
+
+class Process(NamedTuple):
+    """This process; ``is_first`` is whether none ran at its address before."""
+
+    id: int = 0
+    started_ms: Millis = 0
+    is_first: bool = True
 
 
 class ServiceLoad(NamedTuple):
@@ -100,7 +111,8 @@
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
-    upstream. ``lapsing`` maps removed upstreams to the time until which they stay in
+    upstream; ``ended`` are the processes of entries that have ended or may have, by
+    id. ``lapsing`` maps removed upstreams to the time until which they stay in
     use. ``awaits_copy`` is whether the store was restored from a copy and not listed
     since; until ``copy_until_ms`` the list may be that of the copy, and ``withheld``
     maps the upstreams that it revived to the time until which they get no requests.
@@ -110,6 +122,7 @@
     """
 
     options: Options
+    process: Process = Process()
     configuration: Configuration | None = None
     table: RouteTable | None = None
     upstreams: Map[str, Upstream] = Map()
@@ -126,6 +139,7 @@
     upstream_stats: Map[str, UpstreamStats] = Map()
     peers: Map[str, PeerReport] = Map()
     peer_in_flight: Map[str, int] = Map()
+    ended: Map[int, EndedProcess] = Map()
     suspicions: Map[str, GroupSuspicion] = Map()
     parts: PartEvidence = PartEvidence()
     loads: Map[str, ServiceLoad] = Map()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -170,6 +170,32 @@
     fence: int = 0
 
 
+class EndedProcess(NamedTuple):
+    """A process of an entry that has ended, or may have, and the retries it sent.
+
+    ``ended_ms`` is when it was last heard, ``retries`` are those in the budget window
+    at that time, by service.
+    """
+
+    peer: str
+    ended_ms: Millis
+    retries: Map[str, int]
+
+
+class SpendingReport(NamedTuple):
+    """What an entry reports of the retry budget.
+
+    ``process`` differs between the processes of an entry, 0 for one that does not
+    report it. ``retries`` are its own in the budget window, by service; ``ended`` are
+    the ended processes that it remembers, of any entry.
+    """
+
+    process: int = 0
+    started_ms: Millis = 0
+    retries: Map[str, int] = Map()
+    ended: Map[int, EndedProcess] = Map()
+
+
 class CallerRequest(NamedTuple):
     """A request as received from a caller, before admission.
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -1,4 +1,4 @@
-"""Exchange reports with other entries: requests in flight, and suspect prompt parts.
+"""Exchange reports with other entries: requests in flight, suspect parts, retries.
 
 UDP fits better than TCP here: the next report replaces a lost one, and none is
 delayed behind an older one.
@@ -16,6 +16,7 @@
     Standing,
     load_report,
     part_report,
+    spending_report,
 )
 from nutmegslip_entry.direct._reports import (
     Report,
@@ -74,7 +75,14 @@
         for peer in report.peers:
             self._last_received_ms.setdefault(peer, now_ms - PEER_TIMEOUT_MS // 2)
         self._machine.dispatch(
-            PeerReported(now_ms, host, report.in_flight, report.parts, report.standing)
+            PeerReported(
+                now_ms,
+                host,
+                report.in_flight,
+                report.parts,
+                report.standing,
+                report.spending,
+            )
         )
 
     def send(self) -> None:
@@ -85,14 +93,15 @@
             now_ms = self._machine.clock()
             state = self._machine.state
             standing = self._standing()
-            current = load_report(state), part_report(state), standing
+            spending = spending_report(state, now_ms)
+            current = load_report(state), part_report(state), standing, spending
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
             last = current
-            in_flight, parts, _ = current
+            in_flight, parts, *_ = current
             report = Report(
-                Map(in_flight), tuple(self._last_received_ms), parts, standing
+                Map(in_flight), tuple(self._last_received_ms), parts, standing, spending
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -45,6 +45,7 @@
 PACE_INTERVAL_S = 0.25  # two or three steps of a group
 HOUSEKEEPING_INTERVAL_S = 1.0
 TASK_RESTART_DELAY_S = 0.25
+PROCESS_ID_COUNT = 2**32
 LISTEN_BACKLOG = 512
 LEAVE_ROTATION_MS = 2_500  # balancers probe each second and remove after two failures
 STOP_MARGIN_MS = 500  # subtracted from the grace period, to exit before a kill
@@ -88,7 +89,15 @@
         self._log = RateLimitedLog(log)
         self._metrics = Metrics()
         self._machine = StateMachine(
-            settings.options, boottime_ms, self._log, self._metrics
+            settings.options,
+            boottime_ms,
+            self._log,
+            self._metrics,
+            direct.Process(
+                secrets.randbelow(PROCESS_ID_COUNT - 1) + 1,
+                boottime_ms(),
+                settings.first_start,
+            ),
         )
         self._pool = Pool(boottime_ms)
         self._exchanges = Exchanges(self._machine, header_codec, self._pool, count(1))
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -8,7 +8,14 @@
 import cbor2
 from immutables import Map
 
-from nutmegslip_decisions.direct import Blame, Crash, PartReport, Standing
+from nutmegslip_decisions.direct import (
+    Blame,
+    Crash,
+    EndedProcess,
+    PartReport,
+    SpendingReport,
+    Standing,
+)
 from nutmegslip_decisions.model import Millis
 
 
@@ -17,12 +24,13 @@
 
 
 class Report(NamedTuple):
-    """Requests in flight by upstream, known peers, and suspect prompt parts."""
+    """Requests in flight by upstream, known peers, suspect parts, and retries."""
 
     in_flight: Map[str, int]
     peers: tuple[str, ...]
     parts: PartReport = PartReport()
     standing: Standing = Standing()
+    spending: SpendingReport = SpendingReport()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -44,7 +52,17 @@
         },
     ]
     encoded = [dict(report.in_flight), list(report.peers), list(report.standing)]
-    return cbor2.dumps([*encoded, fields] if any(fields) else encoded)
+    spending = _encode_spending(report.spending, now_ms)
+    return cbor2.dumps([*encoded, fields, spending])
+
+
+def _encode_spending(spending: SpendingReport, now_ms: Millis) -> list:
+    ended = {
+        process: [known.peer, now_ms - known.ended_ms, dict(known.retries)]
+        for process, known in spending.ended.items()
+    }
+    age_ms = now_ms - spending.started_ms
+    return [spending.process, age_ms, dict(spending.retries), ended]
 
 
 def decode_report(data: bytes, now_ms: Millis) -> Report:
@@ -55,8 +73,9 @@
         return Report(
             Map({str(key): int(count) for key, count in in_flight.items()}),
             tuple(str(peer) for peer in peers),
-            _decode_parts(*more[1], now_ms) if len(more) > 1 else PartReport(),
+            _decode_parts(*more[1], now_ms) if more[1:] else PartReport(),
             Standing(bool(leads), bool(may_lead), int(fence)),
+            _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -92,3 +111,25 @@
             }
         ),
     )
+
+
+def _decode_spending(
+    process: int, age_ms: int, retries: dict, ended: dict, now_ms: Millis
+) -> SpendingReport:
+    return SpendingReport(
+        int(process),
+        now_ms - int(age_ms),
+        _decode_retries(retries),
+        Map(
+            {
+                int(known): EndedProcess(
+                    str(peer), now_ms - int(ended_age_ms), _decode_retries(spent)
+                )
+                for known, (peer, ended_age_ms, spent) in ended.items()
+            }
+        ),
+    )
+
+
+def _decode_retries(retries: dict) -> Map[str, int]:
+    return Map({str(service): int(count) for service, count in retries.items()})
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -15,6 +15,7 @@
     zone: str
     log_level: NotRequired[str]
     metrics_port: NotRequired[int]
+    first_start: NotRequired[bool]
 
 
 class _Listen(TypedDict):
@@ -63,6 +64,7 @@
     store: str
     options: Options
     stop_grace_ms: int
+    first_start: bool
 
 
 class SettingsError(NamedTuple):
@@ -101,6 +103,7 @@
         store=sections["store"]["address"],
         options=_options(sections),
         stop_grace_ms=int(sections["bounds"].get("stop_grace_s", 8) * 1_000),
+        first_start=process.get("first_start", False),
     )
 
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -21,6 +21,8 @@
 from nutmegslip_entry.direct._metrics import Metrics
 from nutmegslip_runtime.eventlog import RateLimitedLog
 
+_FIRST_PROCESS = direct.Process()
+
 
 class StateMachine:
     """The state of this process; all its greenlets share one thread."""
@@ -31,8 +33,9 @@
         clock: Callable[[], int],
         log: RateLimitedLog,
         metrics: Metrics,
+        process: direct.Process = _FIRST_PROCESS,
     ) -> None:
-        self._state = direct.State(options)
+        self._state = direct.State(options, process)
         self._steps: dict[int, AsyncResult] = {}
         self._gaps: dict[tuple[str, str], tuple[int, int]] = {}
         self._log = log
--- a/tests/retry_budget_world.py
+++ b/tests/retry_budget_world.py
@@ -11,11 +11,13 @@
     Broken,
     Options,
     PeerReported,
+    Process,
     RequestEnded,
     ResponseStarted,
     Send,
     Tick,
     load_report,
+    spending_report,
 )
 from tests.direct_world import World, upstream
 
@@ -77,18 +79,22 @@
     def run(self) -> None:
         """Play the load to its end."""
         while self.now_ms < self.begin_ms + self.load.length_ms:
-            self.now_ms += STEP_MS
-            self._restart_entries()
-            for number, world in enumerate(self.entries):
-                world.now_ms = self.now_ms
-                if self.is_down(number):
-                    continue
-                self._arrivals(number)
-                if not self.now_ms % TICK_MS:
-                    self._take(number, Tick(self.now_ms))
-                if not (self.now_ms + STEP_MS * number) % REPORT_MS:
-                    self._report(number)
-            self._end_attempts()
+            self.step()
+
+    def step(self) -> None:
+        """Play one step."""
+        self.now_ms += STEP_MS
+        self._restart_entries()
+        for number, world in enumerate(self.entries):
+            world.now_ms = self.now_ms
+            if self.is_down(number):
+                continue
+            self._arrivals(number)
+            if not self.now_ms % TICK_MS:
+                self._take(number, Tick(self.now_ms))
+            if not (self.now_ms + STEP_MS * number) % REPORT_MS:
+                self._report(number)
+        self._end_attempts()
 
     def is_down(self, number: int) -> bool:
         """Return whether an entry is being restarted."""
@@ -127,6 +133,10 @@
         )
         world = World(*self.upstreams, options=options)
         world.now_ms = self.now_ms
+        process = Process(
+            self.random.getrandbits(32), self.now_ms, is_first=self.now_ms == START_MS
+        )
+        world.state = world.state._replace(process=process)
         return world
 
     def _restart_entries(self) -> None:
@@ -177,10 +187,12 @@
                 self.attempts.append(attempt)
 
     def _report(self, number: int) -> None:
+        state = self.entries[number].state
         report = PeerReported(
             self.now_ms,
             f"10.0.0.{number}",
-            Map(load_report(self.entries[number].state)),
+            Map(load_report(state)),
+            spending=spending_report(state, self.now_ms),
         )
         for other in range(len(self.entries)):
             heard = not (self._is_cut(number) or self._is_cut(other))
--- a/tests/test_direct_retry_budget.py
+++ b/tests/test_direct_retry_budget.py
@@ -2,16 +2,32 @@
 
 import unittest
 
+import cbor2
+from immutables import Map
+
 from nutmegslip_decisions.direct import (
     AttemptFailed,
     Broken,
     Declined,
+    EndedProcess,
     GroupRank,
     Options,
+    PeerReported,
+    Process,
     Refuse,
     RequestEnded,
     Send,
+    SpendingReport,
     Tick,
+    retry_budget,
+    spending_report,
+)
+from nutmegslip_decisions.direct._spending import MAX_REPORTED_ENDS
+from nutmegslip_entry.direct._reports import (
+    Report,
+    ReportError,
+    decode_report,
+    encode_report,
 )
 from tests.direct_world import World, upstream
 from tests.retry_budget_world import Fleet, Load
@@ -106,5 +122,104 @@
         self.assertEqual([type(effect) for effect in effects], [Refuse] * 6)
 
 
+class RestartTests(unittest.TestCase):
+    """A new process retries as soon as it knows what earlier ones have spent."""
+
+    def _retries_of_restarted(self, restarted):
+        load = Load(
+            fail_from_ms=8_000, restarts=tuple((6_000, number) for number in restarted)
+        )
+        fleet = Fleet(1, load)
+        while fleet.now_ms < fleet.begin_ms + 12_000:
+            fleet.step()
+        return retry_budget(fleet.entries[0].state, "model", fleet.now_ms).retries
+
+    def test_peers_that_were_there_tell_that_nothing_was_spent(self):
+        self.assertGreater(self._retries_of_restarted((0,)), 5)
+
+    def test_after_a_restart_of_all_nobody_knows(self):
+        self.assertEqual(self._retries_of_restarted(range(6)), 0)
+
+    def test_a_process_knows_only_from_peers_that_were_there(self):
+        start_ms = 1_000_000
+        window_ms = Options("").retry_window_ms
+        cases = (
+            ("an old peer", 600, start_ms - window_ms, 7, True),
+            (
+                "a peer that has not heard of it yet",
+                400,
+                start_ms - window_ms,
+                7,
+                False,
+            ),
+            ("a peer that started later", 600, start_ms - window_ms + 1, 7, False),
+            ("a peer of an earlier build", 600, start_ms - window_ms, 0, False),
+        )
+        for name, after_ms, peer_started_ms, peer_process, known in cases:
+            with self.subTest(name):
+                world = World(options=Options("e1", "10.0.0.1", budget_slack=9.0))
+                process = Process(1, start_ms, is_first=False)
+                world.state = world.state._replace(process=process)
+                now_ms = start_ms + after_ms
+                spending = SpendingReport(peer_process, peer_started_ms)
+                report = PeerReported(now_ms, "10.0.0.2", Map(), spending=spending)
+                world.take(report)
+                budget = retry_budget(world.state, "model", now_ms)
+                self.assertEqual(budget.allowed > 0, known)
+
+    def test_a_peer_that_is_only_silent_spends_once(self):
+        world = World(options=Options("e1", "10.0.0.1", budget_slack=9.0))
+        spending = SpendingReport(7, 0, Map({"model": 3}))
+        world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), spending=spending))
+        world.now_ms += 2_000
+        world.take(Tick(world.now_ms))
+        for _ in range(2):
+            world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), spending=spending))
+        self.assertEqual(set(world.state.ended), {7})
+        other = World(options=Options("e2", "10.0.0.2", budget_slack=9.0))
+        other.state = other.state._replace(process=Process(7))
+        told = spending_report(world.state, world.now_ms)
+        other.take(PeerReported(other.now_ms, "10.0.0.1", Map(), spending=told))
+        self.assertEqual(retry_budget(other.state, "model", other.now_ms).retries, 0)
+
+
+class SpendingReportTests(unittest.TestCase):
+    """Reports carry what processes have spent; times are read by the own clock."""
+
+    def test_a_report_keeps_its_times(self):
+        ended = Map({8: EndedProcess("10.0.0.3", 9_000, Map({"model": 4}))})
+        spending = SpendingReport(7, 2_000, Map({"model": 3}), ended)
+        report = Report(Map(), ("10.0.0.2",), spending=spending)
+        read = decode_report(encode_report(report, 10_000), 50_000).spending
+        self.assertEqual(read.started_ms, 42_000)
+        self.assertEqual(read.ended[8].ended_ms, 49_000)
+        self.assertEqual((read.process, read.retries), (7, spending.retries))
+        self.assertEqual(read.ended[8].retries, ended[8].retries)
+
+    def test_a_report_of_an_earlier_build_tells_nothing(self):
+        data = cbor2.dumps([{}, [], [False, False, 0], [{}, {}, [], {}]])
+        self.assertEqual(decode_report(data, 0).spending, SpendingReport())
+
+    def test_malformed_spending_raises_one_error(self):
+        head = [{}, [], [False, False, 0], [{}, {}, [], {}]]
+        for spending in (
+            [],
+            [1],
+            [1, 2, 3, 4],
+            [1, 2, {"a": "b"}, {}],
+            [1, 2, {}, {1: 2}],
+        ):
+            with self.subTest(spending=spending), self.assertRaises(ReportError):
+                decode_report(cbor2.dumps([*head, spending]), 0)
+
+    def test_the_ended_processes_in_a_report_are_bounded(self):
+        world = World()
+        known = EndedProcess("10.0.0.3", world.now_ms, Map({"model": 4}))
+        ended = Map(dict.fromkeys(range(2 * MAX_REPORTED_ENDS), known))
+        world.state = world.state._replace(ended=ended)
+        report = spending_report(world.state, world.now_ms)
+        self.assertEqual(len(report.ended), MAX_REPORTED_ENDS)
+
+
 if __name__ == "__main__":
     unittest.main()
