Count entries that are cut off among those that share the limits

Callers' requests can be retried more often than the budget allows, and a cold upstream sent more than it bears, while entries are cut off from each other for longer than ten seconds but still reach upstreams.

Cause: the same count of entries, those heard in the last ten seconds, served two purposes: who takes requests at present, and who shares a limit. Each side of a partition took over the share of the other.

The count behind budget and cold limit now keeps an entry for a minute after its last report; the prediction of waits still drops it after ten seconds, so that a lost zone makes nobody's wait look longer than it is. What it costs: for a minute after entries have gone, the slack and cold share of the others stay smaller by theirs.

A partition of more than a minute, and the first 0.2 s of a process that has heard of nobody, stay open.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
@@ -87,7 +87,7 @@
     """
     load = load_of(state, service)
     options = state.options
-    entries = state.entry_count()
+    entries = state.sharing_count()
     arrivals = load.arrivals.count_within(now_ms)
     earned = EARNED_SHARE * options.budget_ratio * arrivals
     waiting = sum(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -132,7 +132,7 @@
         return None
     options = state.options
     bound = service_config.cold_per_s * options.cold_multiplier + options.cold_slack
-    return max(1, int(bound / state.entry_count()))
+    return max(1, int(bound / state.sharing_count()))
 
 
 def _usable_upstreams(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -3,6 +3,9 @@
 Answers the load pattern in which hundreds of entries report ten times a second: a
 report changes the totals by its difference from the previous one, so that a choice
 reads one number for each upstream, independent of the number of entries.
+
+An entry that is cut off from the others may still reach upstreams, so both sides go on
+counting each other among those that share the limits for longer than a partition lasts.
 """
 
 from immutables import Map
@@ -15,7 +18,8 @@
 from nutmegslip_decisions.model import Millis
 
 STALE_AFTER_MS = 1_500  # without a report; the peer's counts are then dropped
-EXPIRE_AFTER_MS = 10_000  # its share of the limits then goes to the others
+EXPIRE_AFTER_MS = 10_000  # without a report; the peer is then taken for gone
+UNSHARE_AFTER_MS = 60_000  # its share of the limits then goes to the others
 
 
 def with_report(state: State, peer: str, report: PeerReport) -> State:
@@ -25,8 +29,11 @@
         state.peer_in_flight, old.in_flight if old else Map(), report.in_flight
     )
     state = with_spending_report(state, peer, old, report.spending)
-    peers = state.peers.set(peer, report)
-    return state._replace(peers=peers, peer_in_flight=peer_in_flight)
+    return state._replace(
+        peers=state.peers.set(peer, report),
+        sharing=state.sharing.set(peer, report.received_ms),
+        peer_in_flight=peer_in_flight,
+    )
 
 
 def without_stale(state: State, now_ms: Millis) -> State:
@@ -44,6 +51,9 @@
             )
         if report.received_ms + EXPIRE_AFTER_MS < now_ms:
             state = state._replace(peers=state.peers.delete(peer))
+    for peer, heard_ms in state.sharing.items():
+        if heard_ms + UNSHARE_AFTER_MS < now_ms:
+            state = state._replace(sharing=state.sharing.delete(peer))
     return state
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -111,14 +111,16 @@
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
-    upstream; ``ended`` are the processes of entries that have ended or may have, by
-    id. ``lapsing`` maps removed upstreams to the time until which they stay in
-    use. ``awaits_copy`` is whether the store was restored from a copy and not listed
-    since; until ``copy_until_ms`` the list may be that of the copy, and ``withheld``
-    maps the upstreams that it revived to the time until which they get no requests.
-    ``zones_read`` are the zones out of service by the list, ``zones_out`` those in
-    force. ``unadmitted`` holds the requests that wait for the first configuration, by
-    ticket; ``waiting`` holds the queues of tickets, by service.
+    upstream. ``sharing`` are the entries that share the limits of the fleet, also those
+    not heard for a while, with the time of their last report; ``ended`` are the
+    processes of entries that have ended or may have, by id. ``lapsing`` maps removed
+    upstreams to the time until which they stay in use. ``awaits_copy`` is whether the
+    store was restored from a copy and not listed since; until ``copy_until_ms`` the
+    list may be that of the copy, and ``withheld`` maps the upstreams that it revived to
+    the time until which they get no requests. ``zones_read`` are the zones out of
+    service by the list, ``zones_out`` those in force. ``unadmitted`` holds the requests
+    that wait for the first configuration, by ticket; ``waiting`` holds the queues of
+    tickets, by service.
     """
 
     options: Options
@@ -139,6 +141,7 @@
     upstream_stats: Map[str, UpstreamStats] = Map()
     peers: Map[str, PeerReport] = Map()
     peer_in_flight: Map[str, int] = Map()
+    sharing: Map[str, Millis] = Map()
     ended: Map[int, EndedProcess] = Map()
     suspicions: Map[str, GroupSuspicion] = Map()
     parts: PartEvidence = PartEvidence()
@@ -147,8 +150,12 @@
     unadmitted: Map[int, Unadmitted] = Map()
     waiting: Map[str, tuple[int, ...]] = Map()
 
-    def entry_count(self) -> int:
+    def sharing_count(self) -> int:
         """Return the count of entries that share the limits of the fleet."""
+        return max(self.options.entries, len(self.sharing) + 1)
+
+    def serving_count(self) -> int:
+        """Return the count of entries that share the upstreams at present."""
         return max(self.options.entries, len(self.peers) + 1)
 
     def stats_of(self, upstream_id: str) -> UpstreamStats:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
@@ -51,7 +51,7 @@
     queue = state.waiting.get(request.service, ())
     ahead = sum(not _precedes(state, request, ticket) for ticket in queue)
     free_every_ms = load_of(state, request.service).hold_ms / capacity.slots
-    return (ahead + 1) * free_every_ms * state.entry_count()
+    return (ahead + 1) * free_every_ms * state.serving_count()
 
 
 def latest_send_ms(state: State, request: Request) -> Millis:
--- a/tests/test_direct_retry_budget.py
+++ b/tests/test_direct_retry_budget.py
@@ -122,6 +122,24 @@
         self.assertEqual([type(effect) for effect in effects], [Refuse] * 6)
 
 
+class SharingTests(unittest.TestCase):
+    """An entry that is cut off still shares the limits, but takes no requests."""
+
+    def test_a_silent_entry_shares_the_limits_for_a_minute(self):
+        world = World(options=Options("e1", "10.0.0.1"))
+        world.take(PeerReported(world.now_ms, "10.0.0.2", Map()))
+        for after_ms, sharing, serving in (
+            (9_000, 2, 2),
+            (11_000, 2, 1),
+            (59_000, 2, 1),
+            (61_000, 1, 1),
+        ):
+            with self.subTest(after_ms=after_ms):
+                world.take(Tick(1_000_000 + after_ms))
+                counts = world.state.sharing_count(), world.state.serving_count()
+                self.assertEqual(counts, (sharing, serving))
+
+
 class RestartTests(unittest.TestCase):
     """A new process retries as soon as it knows what earlier ones have spent."""
 
