End attempts at upstreams that send bytes without end that are no answer

What callers saw in tests with stand-ins: an answer only at the deadline, 504 or 502, where another upstream was free, also for a rejection that said in its head that nothing had run. In the entry the bytes filled the memory meanwhile.

Cause: the parser's buffers, the body of an answer, the begin of an event and the answers to other requests had no limit but the deadline, and a reader that never has to wait let no other greenlet run. A rejection was only taken for one when its body had ended.

Now 64 KiB that complete no head and no piece of a body, 16 interim responses, 8 answers to other requests, a body of 16 MiB or an event of 1 MiB end the attempt; a rejection counts by its head, and the log tells that it did not end. Ruled out: a limit of the size that callers may send (4 MiB by default), as answers may be larger.

Open: the sidecar's client to its own engine has no limits.

--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -147,6 +147,12 @@
             self._process.kill()
             self._process.wait()
 
+    def peak_memory_mb(self) -> float:
+        """Return the peak of the resident memory."""
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        (peak,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(peak.split()[1]) / 1_024
+
     def close(self) -> None:
         """Kill the process and give its ports back."""
         self.kill()
--- a/fakes/runners/_faults.py
+++ b/fakes/runners/_faults.py
@@ -26,3 +26,16 @@
     COPY_LATE = "copy-late"  # before the next answer comes a copy of this one, no id
     DRIP = "drip"  # a stream stalls within an event and sends a byte now and then
     SLOW = "slow"  # a stream's events come with long pauses
+    ENDLESS_HEAD = "endless-head"  # the head of the response does not end
+    ENDLESS_BODY = "endless-body"  # bytes that are no body of a response, without end
+    ENDLESS_OTHERS = "endless-others"  # responses to other requests, without end
+    ENDLESS_SHED = "endless-shed"  # refuses, and the body of the refusal has no end
+    STALLED_SHED = "stalled-shed"  # refuses, and the body of the refusal never comes
+
+
+ENDLESS = (
+    Fault.ENDLESS_HEAD,
+    Fault.ENDLESS_BODY,
+    Fault.ENDLESS_OTHERS,
+    Fault.ENDLESS_SHED,
+)
--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.server import StreamServer
 
-from fakes.runners._faults import Fault
+from fakes.runners._faults import ENDLESS, Fault
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import (
     LAST_CHUNK,
@@ -27,6 +27,7 @@
 LEAVING = (b"Server-Leaving", b"1")
 DRIP_INTERVAL_S = 0.05
 SLOW_INTERVAL_S = 0.7
+ENDLESS_BLOCKS, BLOCK_BYTES = 4_096, 32_768  # an endless response ends by itself
 CRASH_S = 1.5  # for which new connections to a crashed runner wait
 ENDED_BY_CLOSE = frozenset(
     {Fault.NO_LENGTH, Fault.CLOSE_CUT, Fault.CLOSE_RESET, Fault.CLOSE_EMPTY}
@@ -145,6 +146,10 @@
         elif self.fault is Fault.SHED:
             headers = [NOT_EXECUTED, *self._leaving_headers()]
             sock.sendall(encode_head(503, headers, length=0))
+        elif self.fault is Fault.STALLED_SHED and own:
+            sock.sendall(encode_head(503, [NOT_EXECUTED], length=9))
+        elif self.fault is Fault.ENDLESS_SHED and own:
+            self._send_without_end(sock, request)
         elif self.fault is Fault.MISDIRECTED or not own:
             sock.sendall(encode_head(421, self._leaving_headers(), length=0))
         else:
@@ -175,6 +180,8 @@
             case Fault.RUBBISH:
                 sock.sendall(b"\x00\x01\x02 rubbish\r\n\r\n")
                 raise OSError("connection closed by an injected fault")
+            case fault if fault in ENDLESS:
+                self._send_without_end(sock, request)
             case Fault.ERROR:
                 sock.sendall(encode_head(500, headers, length=3) + b"bad")
             case _ if self.events:
@@ -182,6 +189,28 @@
             case _:
                 self._send_body(sock, headers, request_id)
 
+    def _send_without_end(self, sock: socket.socket, request: HttpRequest) -> None:
+        """Send bytes that are no response until the caller closes."""
+        request_id = request.header(REQUEST_ID.lower()) or b""
+        own = [(REQUEST_ID, request_id), (RESPONSE_SEAL, b"seal")]
+        other = [(REQUEST_ID, b"another"), (RESPONSE_SEAL, b"seal")]
+        stream = [*own, (b"content-type", b"text/event-stream")]
+        start, repeated = {
+            Fault.ENDLESS_HEAD: (b"HTTP/1.1 200 OK\r\nx: ", b"y"),
+            Fault.ENDLESS_BODY: (
+                encode_head(200, stream if self.events else own, close=True),
+                b"z",
+            ),
+            Fault.ENDLESS_OTHERS: (b"", encode_head(200, other, length=4) + b"late"),
+            Fault.ENDLESS_SHED: (encode_head(503, [NOT_EXECUTED], close=True), b"z"),
+        }[self.fault]
+        block = repeated * (BLOCK_BYTES // len(repeated))
+        sock.sendall(start)
+        for _ in range(ENDLESS_BLOCKS):
+            sock.sendall(block)
+            gevent.sleep(0)
+        raise OSError("connection closed by an injected fault")
+
     def _send_body(
         self, sock: socket.socket, headers: list[tuple[bytes, bytes]], request_id: str
     ) -> None:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
@@ -6,6 +6,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 1_048_576
 
 
 class EventSplitter:
@@ -20,6 +21,11 @@
         """Return whether no incomplete event is buffered."""
         return not self._partial
 
+    @property
+    def is_too_long(self) -> bool:
+        """Return whether the buffered bytes are too many for the begin of an event."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, empty if there are none."""
         buffered = self._partial + data
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -154,10 +154,12 @@
 
     ``misdirected`` is whether another upstream has the address now.
     ``at_fault`` is the id of the upstream that prevented the answer, empty for none.
+    ``unread`` is why the rest of the rejection was not read, empty if it was.
     """
 
     misdirected: bool = False
     at_fault: str = ""
+    unread: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -44,6 +44,9 @@
 )
 
 SEND_STALL_TIMEOUT_S = 1.0  # the attempt fails if the upstream reads nothing
+REJECTION_BODY_TIMEOUT_MS = 250  # the head has said already what matters
+REJECTION_BODY_BYTES = 65_536
+MAX_OTHER_ANSWERS = 8  # late ones, before the answer to a request
 FIRST_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
@@ -218,8 +221,8 @@
     ) -> Failure | None:
         answer, fields = self._read_own_answer(connection, request, upstream)
         if fields.not_run:
-            connection.read_whole_body(request.deadline_ms)
-            return Declined(fields.misdirected, fields.at_fault)
+            unread = self._skip_rejection_body(connection, request)
+            return Declined(fields.misdirected, fields.at_fault, unread)
         if answer.status in SUCCESS_STATUSES:
             if not fields.sealed or answer.header(b"content-encoding"):
                 raise ConnectionBroken(
@@ -241,6 +244,22 @@
         self._forward(complete)
         return None
 
+    def _skip_rejection_body(
+        self, connection: ClientConnection, request: Request
+    ) -> str:
+        """Read the body of a rejection; return why it did not end, empty if it did.
+
+        A connection whose answer did not end is not reused.
+        """
+        end_ms = self._machine.clock() + REJECTION_BODY_TIMEOUT_MS
+        try:
+            connection.read_whole_body(
+                min(end_ms, request.deadline_ms), max_bytes=REJECTION_BODY_BYTES
+            )
+        except ConnectionBroken as error:
+            return str(error)
+        return ""
+
     def _read_own_answer(
         self, connection: ClientConnection, request: Request, upstream: Upstream
     ) -> tuple[ResponseHead, AnswerFields]:
@@ -250,7 +269,7 @@
         copy of an earlier one; rejections may come without an id.
         """
         head_only = self._http_request.method == b"HEAD"
-        while True:
+        for _ in range(MAX_OTHER_ANSWERS + 1):
             answer = connection.read_head(request.deadline_ms, head_request=head_only)
             fields = self._header_codec.answer_fields(answer)
             self._machine.record_answer(upstream, fields)
@@ -260,6 +279,7 @@
             if fields.request_id in (None, request.request_id):
                 return answer, fields
             connection.read_whole_body(request.deadline_ms)
+        raise ConnectionBroken(f"{MAX_OTHER_ANSWERS} answers to other requests")
 
     def _relay_stream(
         self,
@@ -275,6 +295,8 @@
         )
         for data in iter(read, b""):
             events = self._events.feed(data)
+            if self._events.is_too_long:
+                raise ConnectionBroken("an event of the stream is too long")
             if events:
                 now_ms = self._machine.clock()
                 if last_ms:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -264,6 +264,8 @@
     match failure:
         case NotSent(detail) | Broken(detail):
             return detail
+        case Declined(unread=unread) if unread:
+            return f"it rejected the request, but the rejection does not end: {unread}"
         case Declined(misdirected=True):
             return "the address belongs to another upstream"
         case Declined(at_fault=faulty_id) if faulty_id:
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import gevent
 import gevent.socket
 import httptools
 
@@ -12,6 +13,10 @@
 from nutmegslip_runtime.http1._sockets import configure_socket, send_all
 
 READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536  # also of what stands between two pieces of a body
+MAX_BODY_BYTES = 16_777_216
+MAX_INTERIM_RESPONSES = 16
+YIELD_BYTES = 262_144  # a read that never has to wait lets no other greenlet run
 FIRST_FINAL_STATUS = 200
 
 
@@ -66,6 +71,8 @@
         self._keep_alive = True
         self._in_message = False
         self._head_request = False
+        self._unparsed_bytes = 0
+        self._unyielded_bytes = 0
         self.idle_since_ms = 0
 
     @classmethod
@@ -113,10 +120,15 @@
     ) -> ResponseHead:
         """Return the next final head; set ``head_request`` for responses to HEAD."""
         self._head_request = head_request
-        while True:
+        interim = 0
+        while interim <= MAX_INTERIM_RESPONSES:
             part = self._next(deadline_ms)
-            if isinstance(part, ResponseHead) and part.status >= FIRST_FINAL_STATUS:
+            if not isinstance(part, ResponseHead):
+                continue
+            if part.status >= FIRST_FINAL_STATUS:
                 return part
+            interim += 1
+        raise ConnectionBroken(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
     def read_body(self, deadline_ms: int) -> bytes:
         """Return the next bytes of the body, empty at its end."""
@@ -129,9 +141,18 @@
             case ResponseHead():
                 raise ConnectionBroken("a response began within another")
 
-    def read_whole_body(self, deadline_ms: int) -> bytes:
-        """Return the rest of the body."""
-        return b"".join(iter(lambda: self.read_body(deadline_ms), b""))
+    def read_whole_body(
+        self, deadline_ms: int, *, max_bytes: int = MAX_BODY_BYTES
+    ) -> bytes:
+        """Return the rest of the body; raise ConnectionBroken if it is too long."""
+        pieces: list[bytes] = []
+        length = 0
+        while piece := self.read_body(deadline_ms):
+            pieces.append(piece)
+            length += len(piece)
+            if length > max_bytes:
+                raise ConnectionBroken(f"the body exceeds {max_bytes} bytes")
+        return b"".join(pieces)
 
     def exchange(self, request: bytes, deadline_ms: int) -> tuple[ResponseHead, bytes]:
         """Send a request; return the head and the complete body of its response.
@@ -160,8 +181,20 @@
             except OSError as error:
                 raise ConnectionClosed(str(error)) from error
             self._feed(data)
+            self._bound(len(data))
         return self._parts.popleft()
 
+    def _bound(self, received: int) -> None:
+        """Limit bytes that complete no part, and let other greenlets run."""
+        self._unparsed_bytes = 0 if self._parts else self._unparsed_bytes + received
+        if self._unparsed_bytes > MAX_HEAD_BYTES:
+            self._keep_alive = False
+            raise ConnectionBroken(f"{MAX_HEAD_BYTES} bytes hold no head and no body")
+        self._unyielded_bytes += received
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            gevent.sleep(0)
+
     def _feed(self, data: bytes) -> None:
         if not data:
             self._keep_alive = False
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
-from fakes.runners import Fault
+from fakes.runners import ENDLESS, Fault
 from soak._proxy import LinkState
 
 ENTRIES, RUNNERS = 3, 6
@@ -73,6 +73,8 @@
     Fault.COPY_LATE,
     Fault.DRIP,
     Fault.SLOW,
+    *ENDLESS,
+    Fault.STALLED_SHED,
 )
 _RUNNER_FAULTS = tuple(
     fault
--- a/tests/test_direct_failures.py
+++ b/tests/test_direct_failures.py
@@ -14,13 +14,15 @@
 from gevent.server import StreamServer
 
 from bench.entry_process import ANSWER_TIMEOUT_MS
-from fakes.runners import Fault
+from fakes.runners import ENDLESS, Fault
 from nutmegslip_entry.direct import Program, accept_waiting
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import encode_request, send_all
 from tests.test_direct_processes import DirectTestCase
 
 LEAVE_ROTATION_S = 2.6  # after a stop signal new connections are still accepted
+TIMEOUT_MS = 3_000  # of the routes
+MEMORY_MB = 256  # of a host
 WHOLE = [f"id: {number}" for number in range(1, 7)]
 
 
@@ -130,6 +132,47 @@
         self.assertRaises(TimeoutError, stalled.get, timeout=2)
 
 
+class EndlessAnswerTests(DirectTestCase):
+    """Bytes without end that are no answer end the attempt, and harm nobody else."""
+
+    def test_the_request_ends_long_before_its_deadline(self):
+        cases = (
+            (Fault.ENDLESS_HEAD, 502),
+            (Fault.ENDLESS_BODY, 502),
+            (Fault.ENDLESS_OTHERS, 502),
+            (Fault.ENDLESS_SHED, 503),
+            (Fault.STALLED_SHED, 503),
+        )
+        for fault, status in cases:
+            for target in ("/lookups/1", "/pushes/1", "/verses/1"):
+                with self.subTest(fault=fault, target=target):
+                    self.fail_all(fault)
+                    started_ms = boottime_ms()
+                    reply = self.site.send(target, method="POST")
+                    self.assertEqual(reply.status, status)
+                    self.assertNotIn(b"zz", reply.body)
+                    self.assertLess(boottime_ms() - started_ms, TIMEOUT_MS / 2)
+
+    def test_another_upstream_answers(self):
+        for fault in (*ENDLESS, Fault.STALLED_SHED):
+            self.board[0].fault = self.model[0].fault = fault
+            for target in ("/lookups/1", "/verses/1"):
+                with self.subTest(fault=fault, target=target):
+                    replies = [self.site.send(target, method="POST") for _ in range(4)]
+                    found = [(reply.status, reply.complete) for reply in replies]
+                    self.assertEqual(found, [(200, True)] * 4)
+
+    def test_others_are_served_and_the_memory_stays_bounded(self):
+        self.board[0].fault = self.model[0].fault = Fault.ENDLESS_BODY
+        senders = [
+            gevent.spawn(self.site.send, target, method="POST")
+            for target in ("/lookups/1", "/pushes/1", "/verses/1") * 4
+        ]
+        gevent.joinall(senders, timeout=10)
+        self.assertTrue(all(sender.successful() for sender in senders))
+        self.assertLess(self.site.entry.peak_memory_mb(), MEMORY_MB)
+
+
 class PlannedStopTests(DirectTestCase):
     """A planned stop cuts off no request that an entry has accepted."""
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -148,6 +148,60 @@
                 with self.assertRaises(ConnectionBroken):
                     self._respond(data, close=True)
 
+    def test_bytes_without_end_that_are_no_response_are_errors(self):
+        """Guard against a server whose bytes fill the memory until the deadline."""
+        ok = b"HTTP/1.1 200 OK\r\n"
+        chunked = ok + b"transfer-encoding: chunked\r\n\r\n"
+        cases = (
+            ("blank lines", b"", b"\r\n"),
+            ("reason phrase", b"HTTP/1.1 200 O", b"K"),
+            ("header name", ok, b"x"),
+            ("header value", ok + b"x: ", b"y"),
+            ("headers", ok, b"x: y\r\n"),
+            ("interim responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            ("chunk size", chunked, b"0"),
+            ("chunk extension", chunked + b"2;", b"x"),
+            ("trailers", chunked + b"0\r\n", b"x: y\r\n"),
+            ("body without length", ok + b"\r\n", b"z"),
+            ("chunks", chunked, b"2\r\nab\r\n"),
+        )
+        for name, start, repeated in cases:
+            with self.subTest(name):
+                self.setUp()
+                sent = []
+                sender = gevent.spawn(self._send_endlessly, start, repeated, sent)
+                with self.assertRaises(ConnectionBroken) as caught:
+                    deadline_ms = boottime_ms() + 5_000
+                    self.connection.read_head(deadline_ms)
+                    self.connection.read_whole_body(deadline_ms, max_bytes=200_000)
+                sender.kill()
+                self.assertNotIsInstance(caught.exception, ConnectionTimedOut)
+                self.assertLess(sum(sent), 2_000_000)
+
+    def _send_endlessly(self, start, repeated, sent):
+        self.server.sendall(start)
+        block = repeated * (60_000 // len(repeated))
+        for _ in range(500):
+            self.server.sendall(block)
+            sent.append(len(block))
+
+    def test_a_long_body_lets_others_run(self):
+        total = 8 * 1_048_576
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % total
+        turns = []
+
+        def take_turns():
+            while True:
+                turns.append(None)
+                gevent.sleep(0)
+
+        other = gevent.spawn(take_turns)
+        gevent.spawn(self.server.sendall, head + bytes(total))
+        self.connection.read_head(boottime_ms() + 5_000)
+        body = self.connection.read_whole_body(boottime_ms() + 5_000)
+        other.kill()
+        self.assertEqual((len(body), len(turns) > 8), (total, True))
+
     def test_bytes_after_a_response_prevent_reuse(self):
         for extra in (b"x", b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"):
             with self.subTest(extra=extra):
