Let the soak check retries, endless bytes and entries restarted in turn

Now entries share a slack of 12 in 4 s, arrivals at runners beyond the first of each request are counted in every window of that length, and half of the seeds signal all entries in turn so that stops, kills, freezes and reloads overlap. One step in eight more lets a runner send bytes without end. Both are drawn apart, so the schedules of earlier seeds stay as they are. A window within 3 s of a disturbed link of a runner is left out, as the link may have moved arrivals.

--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -41,13 +41,21 @@
 address = "{store}"
 [bounds]
 budget_ratio = 0.2
-budget_slack = 88
+budget_window_s = {budget_window_s}
+budget_slack = {budget_slack}
 cold_multiplier = 1.5
 cold_slack = 5
 stop_grace_s = 8
 """
 
 
+class RetryLimits(NamedTuple):
+    """The retry budget of a service, beside a fifth of its requests."""
+
+    window_s: int = 10
+    slack: int = 88
+
+
 class Ports(NamedTuple):
     """Ports that an entry listens on."""
 
@@ -66,6 +74,9 @@
     complete: bool
 
 
+_USUAL_RETRIES = RetryLimits()
+
+
 class EntryProcess:
     """An entry that can be restarted; its log file is kept across restarts."""
 
@@ -78,6 +89,7 @@
         ip: str = "127.0.0.1",
         peers_port: int = 0,
         seeds: tuple[str, ...] = (),
+        retries: RetryLimits = _USUAL_RETRIES,
     ) -> None:
         self.ip = ip
         # Kept bound, so that nothing else gets a port before the entry listens.
@@ -94,6 +106,8 @@
             "ip": ip,
             "store": store,
             "seeds": seed_list,
+            "budget_window_s": retries.window_s,
+            "budget_slack": retries.slack,
             **self.ports._asdict(),
         }
         self._write_settings()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,11 +12,20 @@
 from soak._guarantees import find_violations
 from soak._notices import History, find_ignored_notices
 from soak._prompts import BAD_PART, Prompts, find_prompt_violations
-from soak._schedule import ENTRIES, Step, plan, plan_notices
+from soak._retries import find_excess_retries
+from soak._schedule import (
+    ENTRIES,
+    Step,
+    plan,
+    plan_endless,
+    plan_notices,
+    plan_restarts,
+)
 from soak._site import SoakSite
 
 STEPS, DURATION_S = 32, 8.0
 NOTICE_INTERVAL = 4  # steps for each further one that gives a notice
+ENDLESS_INTERVAL = 8  # steps for each further one with bytes without end
 CALLERS = 12
 CHECK_INTERVAL_S = 1.0
 SETTLE_S = 5.0  # bound for applying what was published during a store outage
@@ -35,8 +44,13 @@
 
 def run(seed: int, *, steps: int = STEPS, entries: int = ENTRIES) -> Outcome:
     """Run one seed to its end and return the outcome."""
-    notices = plan_notices(seed, steps // NOTICE_INTERVAL, DURATION_S)
-    return run_steps(seed, (*plan(seed, steps, DURATION_S), *notices), entries=entries)
+    planned = (
+        *plan(seed, steps, DURATION_S),
+        *plan_notices(seed, steps // NOTICE_INTERVAL, DURATION_S),
+        *plan_endless(seed, steps // ENDLESS_INTERVAL, DURATION_S),
+        *plan_restarts(seed, entries, DURATION_S),
+    )
+    return run_steps(seed, planned, entries=entries)
 
 
 def run_steps(seed: int, steps: tuple[Step, ...], *, entries: int = ENTRIES) -> Outcome:
@@ -94,7 +108,8 @@
     )
     found = find_violations(callers.sent, callers.received, runs, runner_requests)
     prompts = find_prompt_violations(history, site.crashes_ms())
-    return dict.fromkeys((*found, *find_ignored_notices(history), *prompts))
+    retries = find_excess_retries(history)
+    return dict.fromkeys((*found, *find_ignored_notices(history), *prompts, *retries))
 
 
 def _failed_final_requests(callers: Callers, site: SoakSite) -> list[str]:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -67,14 +67,15 @@
 # Drawn apart from the others, so that the schedules of earlier seeds stay the same.
 _NOTICES = (Action.LEAVE, Action.PAUSE, Action.RESTORE)
 _OTHERS = tuple(action for action in Action if action not in _NOTICES)
+_ENDLESS_FAULTS = (*ENDLESS, Fault.STALLED_SHED)
+_SIGNALS = (Action.STOP, Action.KILL, Action.RELOAD, Action.FREEZE)
 _LATER_FAULTS = (
     Fault.CLOSE_CUT,
     Fault.CLOSE_RESET,
     Fault.COPY_LATE,
     Fault.DRIP,
     Fault.SLOW,
-    *ENDLESS,
-    Fault.STALLED_SHED,
+    *_ENDLESS_FAULTS,
 )
 _RUNNER_FAULTS = tuple(
     fault
@@ -109,6 +110,34 @@
     )
 
 
+def plan_endless(seed: int, steps: int, length_s: float) -> tuple[Step, ...]:
+    """Return steps in which runners send bytes without end that are no answer."""
+    rng = Random(f"{seed}-endless")
+    return tuple(
+        Step(
+            rng.uniform(0.2, length_s),
+            Action.RUNNER,
+            rng.randrange(RUNNERS),
+            rng.uniform(0.2, _MAX_DURATION_S[Action.RUNNER]),
+            str(rng.choice(_ENDLESS_FAULTS)),
+        )
+        for _ in range(steps)
+    )
+
+
+def plan_restarts(seed: int, entries: int, length_s: float) -> tuple[Step, ...]:
+    """Return signals to all entries in turn, which overlap; none for half the seeds."""
+    rng = Random(f"{seed}-restarts")
+    if rng.random() < 0.5:
+        return ()
+    start_s, gap_s = rng.uniform(0.5, length_s / 2), rng.uniform(0.1, 1.0)
+    return tuple(
+        Step(start_s + turn * gap_s, rng.choice(_SIGNALS), turn, rng.uniform(0.1, 0.8))
+        for turn in range(entries)
+        if start_s + turn * gap_s < length_s
+    )
+
+
 def _step(rng: Random, at_s: float) -> Step:
     (action,) = rng.choices(_OTHERS, [_WEIGHTS.get(action, 1) for action in _OTHERS])
     duration_s = rng.uniform(0.2, _MAX_DURATION_S.get(action, 0.2))
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -18,6 +18,7 @@
 from soak._guarantees import EVENTS_PER_STREAM
 from soak._notices import DRAIN_S, Disturbance
 from soak._proxy import LinkState, Proxy
+from soak._retries import RETRIES
 from soak._schedule import ENTRIES, RUNNERS, Action, Identity, Step
 
 BOARD_RUNNERS = RUNNERS // 2  # the others serve streams
@@ -58,6 +59,7 @@
                 ip=ip,
                 peers_port=self._peers_port.getsockname()[1],
                 seeds=ips[:3],
+                retries=RETRIES,
             )
             for ip, link in zip(ips, stores, strict=True)
         ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from fakes.runners import Arrival
+from fakes.runners import Arrival, Fault
 from soak import Action, Step, plan, run, run_steps
 from soak._guarantees import (
     ReceivedResponse,
@@ -15,6 +15,7 @@
     find_violations,
 )
 from soak._notices import Disturbance, History, find_ignored_notices
+from soak._retries import find_excess_retries
 
 # Seeds that once failed, all three for one reason: the check reported a runner's own
 # 500 response to a stream, which the entry passed on completely, as a broken stream.
@@ -49,6 +50,17 @@
         outcome = run_steps(SHORT_SEED, (*leave, *lists))
         self.assertEqual(outcome.violations, ())
 
+    def test_retries_stay_within_the_budget_while_entries_restart(self):
+        """Guard against restarts that grant the whole retry budget once more."""
+        lost = [Step(1.0, Action.RUNNER, n, 7.0, Fault.RESET) for n in range(6)]
+        killed = [
+            Step(3.0 + turn, Action.KILL, (turn + n) % 3, 0.1)
+            for turn in range(4)
+            for n in range(2)
+        ]
+        outcome = run_steps(SHORT_SEED, (*lost, *killed))
+        self.assertEqual(outcome.violations, ())
+
     def test_a_schedule_follows_its_seed(self):
         self.assertEqual(plan(3, 20, 8.0), plan(3, 20, 8.0))
         self.assertNotEqual(plan(3, 20, 8.0), plan(4, 20, 8.0))
@@ -107,6 +119,30 @@
                 self.assertIn(text, " ".join(found))
 
 
+class RetryTests(unittest.TestCase):
+    """Test that retries beyond the budget are found."""
+
+    def test_retries_beyond_the_budget(self):
+        cases = (
+            ("none", 10, 0, (), 0),
+            ("a fifth of the requests and the slack", 10, 14, (), 0),
+            ("one more", 10, 15, (), 1),
+            ("one more, held back by a link", 10, 15, ("r", 100, 200), 0),
+            ("one more, while an entry was frozen", 10, 15, ("e", 100, 200), 1),
+            ("more requests", 15, 15, (), 0),
+        )
+        for name, requests, retries, disturbance, count in cases:
+            with self.subTest(name):
+                ids = [f"q{number}" for number in range(requests)]
+                sent = {r: SentRequest(r, "lookup", b"/", b"", "e", 50) for r in ids}
+                first = [Arrival(60, request_id, True) for request_id in ids]
+                again = [Arrival(70 + n, "q0", True) for n in range(retries)]
+                disturbances = [Disturbance(*disturbance)] if disturbance else []
+                arrivals = [("r", first), ("s", again)]
+                history = History(sent, [], Counter(), arrivals, disturbances)
+                self.assertEqual(len(list(find_excess_retries(history))), count)
+
+
 class NoticeTests(unittest.TestCase):
     """Test that requests to leaving and paused runners are found."""
 
