Let entries that were told what was spent tell others in turn

Now a process that has heard for two seconds from one that knows of all processes that ended in the window knows of them itself: of those that ended before, by the reports; of those that ended since, because it heard them. What an entry is old enough to know it says itself, so its age left the report.

Before: test_a_restart_of_all_in_turn_forgets_nothing is red.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -28,7 +28,7 @@
     peer_in_flight = _with_counts_replaced(
         state.peer_in_flight, old.in_flight if old else Map(), report.in_flight
     )
-    state = with_spending_report(state, peer, old, report.spending)
+    state = with_spending_report(state, peer, old, report.spending, report.received_ms)
     return state._replace(
         peers=state.peers.set(peer, report),
         sharing=state.sharing.set(peer, report.received_ms),
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_spending.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_spending.py
@@ -3,22 +3,28 @@
 Answers the load pattern in which entries are killed or restarted while upstreams fail:
 each new process starts with empty windows and would spend its share of the budget
 once more. Its peers remember what earlier processes at its address have spent, and
-report it. A new process retries nothing until it has heard from a peer that is old
-enough to know, or until what it cannot know has left the budget window.
+report it. A new process retries nothing until it has heard from a peer that knows, or
+until what it cannot know has left the budget window. It then informs others in turn, so
+that the memory survives a restart of all entries one after the other.
 """
 
 from immutables import Map
 
-from nutmegslip_decisions.direct._state import PeerReport, State
+from nutmegslip_decisions.direct._state import Informed, PeerReport, State
 from nutmegslip_decisions.direct._types import EndedProcess, SpendingReport
 from nutmegslip_decisions.model import Millis
 
 MAX_REPORTED_ENDS = 32  # keeps a report within one datagram
 SETTLE_MS = 500  # from a start on; the peers have then heard of the new process
+INFORM_MS = 2_000  # a silent peer is remembered as ended well within it
 
 
 def with_spending_report(
-    state: State, peer: str, old: PeerReport | None, new: SpendingReport
+    state: State,
+    peer: str,
+    old: PeerReport | None,
+    new: SpendingReport,
+    now_ms: Millis,
 ) -> State:
     """Take over what a peer reports; remember the process that it has replaced."""
     ended = state.ended
@@ -26,7 +32,12 @@
         ended = _with_ended(ended, peer, old)
     for process, known in new.ended.items():
         ended = ended.set(process, _merged(ended.get(process), known))
-    return state if ended is state.ended else state._replace(ended=ended)
+    if ended is not state.ended:
+        state = state._replace(ended=ended)
+    if not new.informs or now_ms < state.process.started_ms + SETTLE_MS:
+        return state
+    first_ms = state.informed.first_ms if state.informed else now_ms
+    return state._replace(informed=Informed(first_ms, now_ms))
 
 
 def with_silent_peer(state: State, peer: str, report: PeerReport) -> State:
@@ -53,7 +64,7 @@
     }
     return SpendingReport(
         state.process.id,
-        state.process.started_ms,
+        _informs(state, now_ms),
         Map(spent),
         Map(latest[:MAX_REPORTED_ENDS]),
     )
@@ -70,15 +81,24 @@
 
 def knows_earlier_retries(state: State, now_ms: Millis) -> bool:
     """Return whether it is known what earlier processes of this entry have spent."""
-    process, window_ms = state.process, state.options.retry_window_ms
-    if process.is_first or now_ms >= process.started_ms + window_ms:
+    return _outlasts_window(state, now_ms) or state.informed is not None
+
+
+def _informs(state: State, now_ms: Millis) -> bool:
+    """Return whether this entry knows of all processes that ended in the window.
+
+    What ended before it was first informed, its peers had remembered when it last was;
+    what ended later, it has heard itself.
+    """
+    if _outlasts_window(state, now_ms):
         return True
-    return any(
-        report.received_ms >= process.started_ms + SETTLE_MS
-        and report.spending.started_ms + window_ms <= process.started_ms
-        for report in state.peers.values()
-        if report.spending.process
-    )
+    informed = state.informed
+    return informed is not None and informed.last_ms >= informed.first_ms + INFORM_MS
+
+
+def _outlasts_window(state: State, now_ms: Millis) -> bool:
+    process, window_ms = state.process, state.options.retry_window_ms
+    return process.is_first or now_ms >= process.started_ms + window_ms
 
 
 def _with_ended(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -107,14 +107,22 @@
     until_ms: Millis
 
 
+class Informed(NamedTuple):
+    """When this process first and last heard from a peer that knows what was spent."""
+
+    first_ms: Millis
+    last_ms: Millis
+
+
 class State(NamedTuple):
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
     upstream. ``sharing`` are the entries that share the limits of the fleet, also those
     not heard for a while, with the time of their last report; ``ended`` are the
-    processes of entries that have ended or may have, by id. ``lapsing`` maps removed
-    upstreams to the time until which they stay in use. ``awaits_copy`` is whether the
+    processes of entries that have ended or may have, by id; ``informed`` is None until
+    a peer has told of them. ``lapsing`` maps removed upstreams to the time until which
+    they stay in use. ``awaits_copy`` is whether the
     store was restored from a copy and not listed since; until ``copy_until_ms`` the
     list may be that of the copy, and ``withheld`` maps the upstreams that it revived to
     the time until which they get no requests. ``zones_read`` are the zones out of
@@ -143,6 +151,7 @@
     peer_in_flight: Map[str, int] = Map()
     sharing: Map[str, Millis] = Map()
     ended: Map[int, EndedProcess] = Map()
+    informed: Informed | None = None
     suspicions: Map[str, GroupSuspicion] = Map()
     parts: PartEvidence = PartEvidence()
     loads: Map[str, ServiceLoad] = Map()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -186,12 +186,13 @@
     """What an entry reports of the retry budget.
 
     ``process`` differs between the processes of an entry, 0 for one that does not
-    report it. ``retries`` are its own in the budget window, by service; ``ended`` are
-    the ended processes that it remembers, of any entry.
+    report it. ``informs`` is whether it knows of all processes that have ended in the
+    budget window. ``retries`` are its own in the window, by service; ``ended`` are the
+    ended processes that it remembers, of any entry.
     """
 
     process: int = 0
-    started_ms: Millis = 0
+    informs: bool = False
     retries: Map[str, int] = Map()
     ended: Map[int, EndedProcess] = Map()
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -61,8 +61,7 @@
         process: [known.peer, now_ms - known.ended_ms, dict(known.retries)]
         for process, known in spending.ended.items()
     }
-    age_ms = now_ms - spending.started_ms
-    return [spending.process, age_ms, dict(spending.retries), ended]
+    return [spending.process, spending.informs, dict(spending.retries), ended]
 
 
 def decode_report(data: bytes, now_ms: Millis) -> Report:
@@ -114,11 +113,11 @@
 
 
 def _decode_spending(
-    process: int, age_ms: int, retries: dict, ended: dict, now_ms: Millis
+    process: int, informs: bool, retries: dict, ended: dict, now_ms: Millis
 ) -> SpendingReport:
     return SpendingReport(
         int(process),
-        now_ms - int(age_ms),
+        bool(informs),
         _decode_retries(retries),
         Map(
             {
--- a/tests/test_direct_retry_budget.py
+++ b/tests/test_direct_retry_budget.py
@@ -1,6 +1,7 @@
 """Test that the retries of all entries together stay within a service's budget."""
 
 import unittest
+from random import Random
 
 import cbor2
 from immutables import Map
@@ -158,36 +159,61 @@
     def test_after_a_restart_of_all_nobody_knows(self):
         self.assertEqual(self._retries_of_restarted(range(6)), 0)
 
-    def test_a_process_knows_only_from_peers_that_were_there(self):
+    def test_a_restart_of_all_in_turn_forgets_nothing(self):
+        load = Load(
+            fail_from_ms=13_000,
+            restarts=tuple((2_000 + 1_900 * n, n) for n in range(6)),
+        )
+        fleet = Fleet(1, load)
+        while fleet.now_ms < fleet.begin_ms + 15_000:
+            fleet.step()
+        last = fleet.entries[-1].state  # all others restarted in the window before
+        self.assertGreater(retry_budget(last, "model", fleet.now_ms).retries, 1)
+
+    def test_restarts_at_any_time_grant_nothing(self):
+        for seed in range(1, 9):
+            rng = Random(seed)
+            restarts = ((rng.randrange(200) * 100, rng.randrange(6)) for _ in range(12))
+            with self.subTest(seed=seed):
+                fleet = Fleet(seed, Load(restarts=tuple(restarts)))
+                fleet.run()
+                self.assertLessEqual(fleet.excess(), 0)
+
+    def test_who_tells_what_was_spent(self):
         start_ms = 1_000_000
-        window_ms = Options("").retry_window_ms
         cases = (
-            ("an old peer", 600, start_ms - window_ms, 7, True),
-            (
-                "a peer that has not heard of it yet",
-                400,
-                start_ms - window_ms,
-                7,
-                False,
-            ),
-            ("a peer that started later", 600, start_ms - window_ms + 1, 7, False),
-            ("a peer of an earlier build", 600, start_ms - window_ms, 0, False),
+            ("a peer that knows", 600, True, True),
+            ("before the peer has heard of it", 400, True, False),
+            ("a peer that does not know", 600, False, False),
+            ("nobody, for the whole window", 10_600, False, True),
         )
-        for name, after_ms, peer_started_ms, peer_process, known in cases:
+        for name, after_ms, informs, known in cases:
             with self.subTest(name):
                 world = World(options=Options("e1", "10.0.0.1", budget_slack=9.0))
                 process = Process(1, start_ms, is_first=False)
                 world.state = world.state._replace(process=process)
                 now_ms = start_ms + after_ms
-                spending = SpendingReport(peer_process, peer_started_ms)
+                spending = SpendingReport(7, informs)
                 report = PeerReported(now_ms, "10.0.0.2", Map(), spending=spending)
                 world.take(report)
                 budget = retry_budget(world.state, "model", now_ms)
                 self.assertEqual(budget.allowed > 0, known)
 
+    def test_a_process_informs_others_after_it_was_informed_for_a_while(self):
+        world = World(options=Options("e1", "10.0.0.1"))
+        process = Process(1, world.now_ms, is_first=False)
+        world.state = world.state._replace(process=process)
+        informed = []
+        for _ in range(6):
+            world.now_ms += 500
+            spending = SpendingReport(7, informs=True)
+            world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), spending=spending))
+            informed.append(spending_report(world.state, world.now_ms).informs)
+        self.assertEqual(informed, [False] * 4 + [True] * 2)
+
     def test_a_peer_that_is_only_silent_spends_once(self):
         world = World(options=Options("e1", "10.0.0.1", budget_slack=9.0))
-        spending = SpendingReport(7, 0, Map({"model": 3}))
+        spending = SpendingReport(7, retries=Map({"model": 3}))
         world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), spending=spending))
         world.now_ms += 2_000
         world.take(Tick(world.now_ms))
@@ -206,12 +232,11 @@
 
     def test_a_report_keeps_its_times(self):
         ended = Map({8: EndedProcess("10.0.0.3", 9_000, Map({"model": 4}))})
-        spending = SpendingReport(7, 2_000, Map({"model": 3}), ended)
+        spending = SpendingReport(7, True, Map({"model": 3}), ended)
         report = Report(Map(), ("10.0.0.2",), spending=spending)
         read = decode_report(encode_report(report, 10_000), 50_000).spending
-        self.assertEqual(read.started_ms, 42_000)
         self.assertEqual(read.ended[8].ended_ms, 49_000)
-        self.assertEqual((read.process, read.retries), (7, spending.retries))
+        self.assertEqual(read[:3], spending[:3])
         self.assertEqual(read.ended[8].retries, ended[8].retries)
 
     def test_a_report_of_an_earlier_build_tells_nothing(self):
@@ -224,8 +249,8 @@
             [],
             [1],
             [1, 2, 3, 4],
-            [1, 2, {"a": "b"}, {}],
-            [1, 2, {}, {1: 2}],
+            [1, True, {"a": "b"}, {}],
+            [1, True, {}, {1: 2}],
         ):
             with self.subTest(spending=spending), self.assertRaises(ReportError):
                 decode_report(cbor2.dumps([*head, spending]), 0)
