Keep the entries' logs of a soak seed that breaks a guarantee

The one known failure (seed 5, a stream refused after all faults were repaired) could not be traced, as the logs went with the temporary folder and the line told neither the parts nor the body of the refusal. Both are kept now; checked with a made-up violation.

--- a/soak/_run.py
+++ b/soak/_run.py
@@ -1,6 +1,8 @@
 """Run one seed: traffic, sequential and simultaneous faults, and the checks."""
 
+import os
 import pathlib
+import shutil
 import tempfile
 from collections import Counter
 from random import Random
@@ -23,6 +25,8 @@
 )
 from soak._site import SoakSite
 
+ROOT = pathlib.Path(__file__).parent.parent
+LOGS_FOLDER = ROOT / "out"  # of seeds with a violation
 STEPS, DURATION_S = 32, 8.0
 NOTICE_INTERVAL = 4  # steps for each further one that gives a notice
 ENDLESS_INTERVAL = 8  # steps for each further one with bytes without end
@@ -59,9 +63,15 @@
     with tempfile.TemporaryDirectory() as folder:
         site = SoakSite(pathlib.Path(folder), entries)
         try:
-            return _run_schedule(seed, schedule, site)
+            outcome = _run_schedule(seed, schedule, site)
         finally:
             site.close()
+        if not outcome.violations:
+            return outcome
+        logs = LOGS_FOLDER / f"soak-{seed}-{os.getpid()}"
+        shutil.copytree(folder, logs, dirs_exist_ok=True)
+        kept = f"the logs of the entries are in {logs.relative_to(ROOT)}"
+        return outcome._replace(violations=(*outcome.violations, kept))
 
 
 def _run_schedule(seed: int, schedule: tuple[Step, ...], site: SoakSite) -> Outcome:
@@ -124,6 +134,7 @@
         if not (response.complete and response.status == 200):
             failures.append(
                 f"{response.sent.request_id}: status {response.status} for a"
-                f" {response.sent.kind} after all faults were repaired, by {entry.ip}"
+                f" {response.sent.kind} after all faults were repaired, by {entry.ip},"
+                f" parts {response.sent.parts}, body {response.body[:80]!r}"
             )
     return failures
