Forget what ended processes spent when it has left the budget window

Entries would have kept a restarted one from retrying for longer than the window, in the worst case as long as they run; seen in a test, not by callers.

Cause: reports carry ages, so what one entry tells of an ended process looks newer to the next one by the delay of the report, and each took the newer time over. Between two entries the record went to and fro and never expired.

Now an entry's own observation stands, what is told is news only if it is a second newer, and nothing is taken over that would leave the window; records are kept for that second longer. A process that fell silent, went on and ended later is remembered by what it had spent last.

Found by reading the change.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_spending.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_spending.py
@@ -16,6 +16,7 @@
 
 MAX_REPORTED_ENDS = 32  # keeps a report within one datagram
 SETTLE_MS = 500  # from a start on; the peers have then heard of the new process
+MAX_REPORT_DELAY_MS = 1_000  # a longer one prolongs what is remembered
 INFORM_MS = 2_000  # a silent peer is remembered as ended well within it
 
 
@@ -30,8 +31,11 @@
     ended = state.ended
     if old is not None and old.spending.process != new.process:
         ended = _with_ended(ended, peer, old)
-    for process, known in new.ended.items():
-        ended = ended.set(process, _merged(ended.get(process), known))
+    window_ms = state.options.retry_window_ms
+    for process, told in new.ended.items():
+        counts = told.ended_ms + window_ms > now_ms
+        if counts and _is_news(ended.get(process), told):
+            ended = ended.set(process, told)
     if ended is not state.ended:
         state = state._replace(ended=ended)
     if not new.informs or now_ms < state.process.started_ms + SETTLE_MS:
@@ -46,10 +50,15 @@
 
 
 def without_expired_ends(state: State, now_ms: Millis) -> State:
-    """Forget ended processes whose retries have left the budget window."""
+    """Forget ended processes whose retries have left the budget window.
+
+    They are kept for the delay of a report longer, so that what others still tell is
+    no news.
+    """
     ended = state.ended
+    lifetime_ms = state.options.retry_window_ms + MAX_REPORT_DELAY_MS
     for process, known in ended.items():
-        if known.ended_ms + state.options.retry_window_ms <= now_ms:
+        if known.ended_ms + lifetime_ms <= now_ms:
             ended = ended.delete(process)
     return state if ended is state.ended else state._replace(ended=ended)
 
@@ -108,9 +117,12 @@
         return ended
     known = EndedProcess(peer, report.received_ms, report.spending.retries)
     process = report.spending.process
-    return ended.set(process, _merged(ended.get(process), known))
+    return ended if ended.get(process) == known else ended.set(process, known)
 
 
-def _merged(old: EndedProcess | None, new: EndedProcess) -> EndedProcess:
-    """Return the later of two entries' knowledge of a process."""
-    return new if old is None or new.ended_ms > old.ended_ms else old
+def _is_news(old: EndedProcess | None, told: EndedProcess) -> bool:
+    """Return whether a peer has heard an ended process later than this entry.
+
+    What is told looks newer by the delay of its report, at each entry anew.
+    """
+    return old is None or told.ended_ms > old.ended_ms + MAX_REPORT_DELAY_MS
--- a/tests/test_direct_retry_budget.py
+++ b/tests/test_direct_retry_budget.py
@@ -211,6 +211,43 @@
             informed.append(spending_report(world.state, world.now_ms).informs)
         self.assertEqual(informed, [False] * 4 + [True] * 2)
 
+    def test_what_was_spent_is_forgotten_although_entries_go_on_telling_it(self):
+        # Each report is read later than it was written, so what it tells looks newer.
+        delay_ms = 150
+        worlds = [World(options=Options(f"e{n}", f"10.0.0.{n}")) for n in (1, 2)]
+        spent = SpendingReport(7, retries=Map({"model": 3}))
+        silent = PeerReported(worlds[0].now_ms, "10.0.0.9", Map(), spending=spent)
+        worlds[0].take(silent)
+        for _ in range(140):
+            told = [spending_report(world.state, world.now_ms) for world in worlds]
+            for number, world in enumerate(worlds):
+                world.now_ms += 100
+                other = 1 - number
+                ended = Map(
+                    {
+                        process: known._replace(ended_ms=known.ended_ms + delay_ms)
+                        for process, known in told[other].ended.items()
+                    }
+                )
+                spending = told[other]._replace(ended=ended)
+                peer = f"10.0.0.{other + 1}"
+                world.take(PeerReported(world.now_ms, peer, Map(), spending=spending))
+                world.take(Tick(world.now_ms))
+        self.assertEqual([len(world.state.ended) for world in worlds], [0, 0])
+
+    def test_a_process_that_fell_silent_before_it_ended_is_remembered_anew(self):
+        world = World(options=Options("e1", "10.0.0.1"))
+        start_ms = world.now_ms
+        for after_ms, retries in ((0, 5), (9_000, 3)):
+            world.now_ms = start_ms + after_ms
+            spent = SpendingReport(7, retries=Map({"model": retries}))
+            world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), spending=spent))
+            world.now_ms += 2_000
+            world.take(Tick(world.now_ms))
+        world.now_ms = start_ms + 15_000
+        world.take(Tick(world.now_ms))
+        self.assertEqual(world.state.ended[7].retries, Map({"model": 3}))
+
     def test_a_peer_that_is_only_silent_spends_once(self):
         world = World(options=Options("e1", "10.0.0.1", budget_slack=9.0))
         spending = SpendingReport(7, retries=Map({"model": 3}))
