Blame no prompt part for an outage of the upstreams

What callers would see: upstreams that reset every request for a second or more leave the prompts of sound subjects refused for ten seconds and longer, after everything is back.

Cause: a part is blamed after three crashes in sequence without a begun answer, if it is unlikely that an innocent part was in all of them. The share of requests that have the part says nothing while every request crashes: then each subject with a few requests has its sequence, and many are compared.

A crash now carries the share of the entry's last 20 attempts at the service without the part that crashed too. Above a half it is no evidence; the product over the sequence must be at most 0.005. Ruled out: a lower bound on the share of requests alone, which no longer blames a part that comes four times a second.

Two tests of bounds let more sound answers begin between their crashes, as these are no evidence otherwise; what they check is the same.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -17,14 +17,17 @@
 from nutmegslip_decisions.direct._part_evidence import (
     Blame,
     Crash,
+    Outcome,
     PartEvidence,
     PartReport,
     chance_of,
     crashes_in_sequence,
+    failing_chance,
     merged_blame,
     most_recent,
     with_arrival,
     with_crash,
+    with_outcome,
     without_expired,
 )
 from nutmegslip_decisions.direct._peers import STALE_AFTER_MS, fresh_peers
@@ -35,6 +38,8 @@
 SUSPECT_CRASHES = 2  # in sequence; one crash is most often the host's own
 BLAME_CRASHES = 3
 MAX_CHANCE = 0.1  # that an innocent part was in all of the crashes
+MAX_FAILING_CHANCE = 0.005  # many parts are compared at a time
+MAX_FAILING_SHARE = 0.5  # above it the upstreams fail, whatever the request holds
 MIN_START_SHARE = 0.1  # of the objective; no answer begins earlier
 SERVICE_ANSWERS_MS = 10_000  # without any begun answer the service itself is away
 PROBE_DELAYS_MS = (10_000, 60_000)  # from the blame on; each probe may cost a group
@@ -79,24 +84,30 @@
 
 def with_crashed_attempt(state: State, request: Request, now_ms: Millis) -> State:
     """Count an attempt whose upstream crashed before the answer began."""
+    outcome = Outcome(True, request.parts)
+    evidence = with_outcome(state.parts, request.service, outcome)
+    state = state._replace(parts=evidence)
     lasted_ms = now_ms - request.sent_at_ms
     if lasted_ms < MIN_START_SHARE * request.route.objective_ms:
         return state  # too early for an answer to begin: the host or a limit closed it
     answered_ms = load_of(state, request.service).answered_ms
     if not request.parts or answered_ms + SERVICE_ANSWERS_MS < now_ms:
         return state
-    evidence = state.parts
     for part in request.parts:
-        crash = Crash(request.sent_at_ms, now_ms, evidence.share(part))
+        failing = evidence.failing(request.service, part)
+        if failing > MAX_FAILING_SHARE:
+            continue
+        crash = Crash(request.sent_at_ms, now_ms, evidence.share(part), failing)
         evidence = with_crash(evidence, part, crash)
     return _with_counts(state._replace(parts=evidence), request.parts, now_ms)
 
 
 def with_begun_answer(state: State, request: Request, now_ms: Millis) -> State:
     """Acquit the parts of a request whose answer has begun."""
+    outcome = Outcome(False, request.parts)
+    evidence = with_outcome(state.parts, request.service, outcome)
     if not request.parts:
-        return state
-    evidence = state.parts
+        return state._replace(parts=evidence)
     recent, begun = evidence.recent, evidence.begun
     for part in request.parts:
         recent = recent.set(part, now_ms)
@@ -185,7 +196,11 @@
 
 
 def _is_blamed(counted: tuple[Crash, ...]) -> bool:
-    return len(counted) >= BLAME_CRASHES and chance_of(counted) <= MAX_CHANCE
+    return (
+        len(counted) >= BLAME_CRASHES
+        and chance_of(counted) <= MAX_CHANCE
+        and failing_chance(counted) <= MAX_FAILING_CHANCE
+    )
 
 
 def _without(found: Map, key: str) -> Map:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -8,7 +8,9 @@
 
 A part that many requests have is in many crashes by chance, beside the one that caused
 them. So each crash also has the share of requests with the part, and the part is only
-blamed if its presence in all of them is unlikely to be chance.
+blamed if its presence in all of them is unlikely to be chance. While upstreams fail on
+any request, some part is in every crash of its own few requests, so a crash also has
+the share of other attempts that failed lately.
 """
 
 from collections.abc import Callable
@@ -23,6 +25,7 @@
 CRASH_MEMORY_MS = 600_000
 BEGUN_MEMORY_MS = 30_000  # in which each peer is reached, also one that was cut off
 MAX_CRASHES_PER_PART = 4
+MAX_OUTCOMES = 20  # the last attempts, by which the share of failing ones is measured
 MAX_PARTS = 256  # those whose last crash is the latest are kept
 MAX_REPORTED_PARTS = 16  # keeps a report within one datagram
 MAX_COUNTED_PARTS = 4_096
@@ -33,12 +36,21 @@
 class Crash(NamedTuple):
     """When a crashed attempt was sent, and when it ended.
 
-    ``share`` is the share of the entry's requests that had the part.
+    ``share`` is the share of the entry's requests that had the part, ``failing`` the
+    share of its last attempts without the part that crashed.
     """
 
     sent_ms: Millis
     ended_ms: Millis
     share: float = 0.0
+    failing: float = 0.0
+
+
+class Outcome(NamedTuple):
+    """Whether an attempt crashed before its answer began, and the parts it had."""
+
+    crashed: bool
+    parts: tuple[str, ...]
 
 
 class Blame(NamedTuple):
@@ -83,11 +95,18 @@
     arrived: Map[str, float] = Map()
     total: float = 0.0
     halve_ms: Millis = 0
+    outcomes: Map[str, tuple[Outcome, ...]] = Map()
 
     def share(self, part: str) -> float:
         """Return the share of requests with a part; high while few have arrived."""
         return self.arrived.get(part, 0.0) / (self.total + 1)
 
+    def failing(self, service: str, part: str) -> float:
+        """Return the share of attempts without a part that crash; a half if unknown."""
+        outcomes = self.outcomes.get(service, ())
+        others = [outcome.crashed for outcome in outcomes if part not in outcome.parts]
+        return (sum(others) + 1) / (len(others) + 2)
+
 
 def crashes_in_sequence(
     crashes: tuple[Crash, ...], begun_ms: Millis | None
@@ -110,6 +129,19 @@
     return prod(min(REQUESTS_PER_CRASH * crash.share, 1.0) for crash in crashes)
 
 
+def failing_chance(crashes: tuple[Crash, ...]) -> float:
+    """Return how likely these attempts crash by what crashes the others as well."""
+    return prod(crash.failing for crash in crashes)
+
+
+def with_outcome(
+    evidence: PartEvidence, service: str, outcome: Outcome
+) -> PartEvidence:
+    """Keep the outcome of one more attempt at a service."""
+    kept = (*evidence.outcomes.get(service, ()), outcome)[-MAX_OUTCOMES:]
+    return evidence._replace(outcomes=evidence.outcomes.set(service, kept))
+
+
 def with_arrival(evidence: PartEvidence, parts: tuple[str, ...]) -> PartEvidence:
     """Count a request that arrived."""
     arrived = evidence.arrived
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -39,7 +39,7 @@
     fields = [
         {
             part: [
-                [now_ms - crash.sent_ms, now_ms - crash.ended_ms, crash.share]
+                [now_ms - crash.sent_ms, now_ms - crash.ended_ms, *crash[2:]]
                 for crash in found
             ]
             for part, found in parts.crashes.items()
@@ -95,8 +95,8 @@
         Map(
             {
                 str(part): tuple(
-                    Crash(now_ms - int(sent), now_ms - int(ended), float(share))
-                    for sent, ended, share in found
+                    Crash(now_ms - int(sent), now_ms - int(ended), *map(float, shares))
+                    for sent, ended, *shares in found
                 )
                 for part, found in crashes.items()
             }
--- a/tests/test_direct_crash_parts.py
+++ b/tests/test_direct_crash_parts.py
@@ -5,6 +5,7 @@
 """
 
 import unittest
+from random import Random
 
 import cbor2
 from immutables import Map
@@ -136,6 +137,50 @@
         return self.world.state.parts.blames[part].since_ms
 
 
+class OutageTests(unittest.TestCase):
+    """Sound parts are blamed while upstreams fail on any request."""
+
+    def _play(self, seed, per_s, subjects, outage_ms, fail_share):
+        """Return the parts blamed while attempts fail after 60 ms for a while."""
+        rng = Random(seed)
+        world = World(*(upstream(f"m{n}", "model", slots=20) for n in range(3)))
+        begin_ms, attempts, blamed = world.now_ms + 3_000, [], set()
+        while world.now_ms < begin_ms + outage_ms + 3_000:
+            world.now_ms += 10
+            effects = ()
+            if rng.random() < per_s / 100:
+                parts = (f"account{rng.randrange(3)}", f"s{rng.randrange(subjects)}")
+                effects = world.arrive("/verses/1", parts=parts, wait_ms=8_000)
+            due = [a for a in attempts if world.now_ms - a.sent_at_ms >= 60]
+            for request in due:
+                attempts.remove(request)
+                failing = begin_ms <= request.sent_at_ms < begin_ms + outage_ms
+                if failing and rng.random() < fail_share:
+                    event = AttemptFailed(world.now_ms, request.ticket, CRASH)
+                    effects += world.take(event)
+                else:
+                    world.take(ResponseStarted(world.now_ms, request.ticket))
+                    event = RequestEnded(world.now_ms, request.ticket, True)
+                    effects += world.take(event)
+            attempts += [e.request for e in effects if isinstance(e, Send)]
+            blamed |= set(world.state.parts.blames)
+        return blamed
+
+    def test_no_part_is_blamed_for_an_outage(self):
+        cases = (
+            ("all attempts for three seconds", 30, 20, 3_000, 1.0),
+            ("all attempts for a second", 30, 20, 1_000, 1.0),
+            ("many requests", 100, 20, 3_000, 1.0),
+            ("many subjects", 100, 200, 3_000, 1.0),
+            ("six in ten", 30, 20, 3_000, 0.6),
+            ("three in ten", 30, 20, 3_000, 0.3),
+        )
+        for name, *load in cases:
+            for seed in (1, 2, 3):
+                with self.subTest(name, seed=seed):
+                    self.assertEqual(self._play(seed, *load), set())
+
+
 class BlameTests(PartTestCase):
     def test_a_blamed_part_is_refused_at_once_as_not_run(self):
         self.blame()
@@ -193,6 +238,7 @@
         for number in range(MAX_PARTS + 20):
             self.crash((f"part{number}",))
             self.answer(())
+            self.answer(())
         self.assertLessEqual(len(self.world.state.parts.crashes), MAX_PARTS)
         self.world.now_ms += CRASH_MEMORY_MS + 1_000
         self.world.take(Tick(self.world.now_ms))
@@ -295,20 +341,21 @@
     def test_reports_fit_a_datagram_and_keep_their_times(self):
         now_ms = 50_000
         parts = PartReport(
-            Map({"a": (Crash(100, 200), Crash(300, 400))}),
+            Map({"a": (Crash(100, 200), Crash(300, 400, 0.25, 0.5))}),
             Map({"b": 49_000}),
             frozenset({"a"}),
             Map({"c": Blame(10_000, 1, 45_000)}),
         )
         report = Report(Map({"u1": 3}), ("10.0.0.2",), parts)
         later = decode_report(encode_report(report, now_ms), now_ms + 7)
-        self.assertEqual(later.parts.crashes["a"][1], Crash(307, 407))
+        self.assertEqual(later.parts.crashes["a"][1], Crash(307, 407, 0.25, 0.5))
         self.assertEqual(later.parts.begun["b"], 49_007)
         self.assertEqual(later.parts.blames["c"], Blame(10_007, 1, 45_007))
         self.assertEqual(later.in_flight, report.in_flight)
         for number in range(MAX_PARTS):
             self.crash((f"{number:064}",), crashes=2)
-            self.answer(())
+            for _ in range(4):
+                self.answer(())
         report = Report(Map(), (), part_report(self.world.state))
         self.assertEqual(len(report.parts.crashes), MAX_REPORTED_PARTS)
         self.assertLess(len(encode_report(report, now_ms)), DATAGRAM_BYTES)
