Reword what the retry budget's types say of themselves

Read as a newcomer: a local was named "counts" beside counts of retries, two docstrings were broken in mid-line, and the state's description ran what is about entries and what is about the store into one. No code path changes.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_budget.py
@@ -29,9 +29,9 @@
 class RetryBudget(NamedTuple):
     """The retries of a service in the budget window, and what bounds them.
 
-    ``retries`` were sent by this entry, earlier processes included, which may send
-    ``allowed``. ``waiting`` are
-    queued for a slot. ``entries`` is the count of entries that share the slack.
+    ``retries`` were sent by this entry, earlier processes included; it may send
+    ``allowed`` in all. ``waiting`` are queued for a slot. ``entries`` is the count of
+    entries that share the slack.
     """
 
     retries: int
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_spending.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_spending.py
@@ -33,8 +33,8 @@
         ended = _with_ended(ended, peer, old)
     window_ms = state.options.retry_window_ms
     for process, told in new.ended.items():
-        counts = told.ended_ms + window_ms > now_ms
-        if counts and _is_news(ended.get(process), told):
+        in_window = told.ended_ms + window_ms > now_ms
+        if in_window and _is_news(ended.get(process), told):
             ended = ended.set(process, told)
     if ended is not state.ended:
         state = state._replace(ended=ended)
@@ -123,6 +123,6 @@
 def _is_news(old: EndedProcess | None, told: EndedProcess) -> bool:
     """Return whether a peer has heard an ended process later than this entry.
 
-    What is told looks newer by the delay of its report, at each entry anew.
+    Reports carry ages, so what is told looks newer by the delay of the report.
     """
     return old is None or told.ended_ms > old.ended_ms + MAX_REPORT_DELAY_MS
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -118,17 +118,18 @@
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
-    upstream. ``sharing`` are the entries that share the limits of the fleet, also those
-    not heard for a while, with the time of their last report; ``ended`` are the
+    upstream. ``sharing`` are the other entries that share the limits of the fleet, also
+    those not heard for a while, with the time of their last report. ``ended`` are the
     processes of entries that have ended or may have, by id; ``informed`` is None until
-    a peer has told of them. ``lapsing`` maps removed upstreams to the time until which
-    they stay in use. ``awaits_copy`` is whether the
-    store was restored from a copy and not listed since; until ``copy_until_ms`` the
-    list may be that of the copy, and ``withheld`` maps the upstreams that it revived to
-    the time until which they get no requests. ``zones_read`` are the zones out of
-    service by the list, ``zones_out`` those in force. ``unadmitted`` holds the requests
-    that wait for the first configuration, by ticket; ``waiting`` holds the queues of
-    tickets, by service.
+    a peer has told of them.
+
+    ``lapsing`` maps removed upstreams to the time until which they stay in use.
+    ``awaits_copy`` is whether the store was restored from a copy and not listed since;
+    until ``copy_until_ms`` the list may be that of the copy, and ``withheld`` maps the
+    upstreams that it revived to the time until which they get no requests.
+    ``zones_read`` are the zones out of service by the list, ``zones_out`` those in
+    force. ``unadmitted`` holds the requests that wait for the first configuration, by
+    ticket; ``waiting`` holds the queues of tickets, by service.
     """
 
     options: Options
