Record what was verified, and a slow group that an entry never probes again

With the logs kept it is traced: the entry had measured gaps of 313 ms once, keeps a twentieth of the slots since, and those count as taken while another entry has one stream in flight; so it sends none, measures none and refuses all. A test over the reducer shows it and is red.

--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -406,6 +406,17 @@
             world.take(PaceMeasured(world.now_ms, "model", "", 60.0))
         self.assertEqual(world.state.loads["model"].open_shares[""], 1.0)
 
+    def test_an_entry_probes_slow_slots_beside_streams_of_other_entries(self):
+        # Its few open slots are taken by entries that found the streams fast again.
+        world = World(upstream("m1", "model", slots=12))
+        world.take(PaceMeasured(world.now_ms, "model", "", 313.0))
+        sent = []
+        for _ in range(100):
+            world.now_ms += 100
+            world.take(PeerReported(world.now_ms, "other", Map({"m1": 2})))
+            sent += [e for e in world.arrive("/verses/1") if isinstance(e, Send)]
+        self.assertTrue(sent)
+
     def _two_groups(self):
         ranks = [
             upstream(
