Show the limits that upstreams name in logs and metrics

Nothing read Server-Limit, so no log told whether a limit was named, when an entry learned it, or when it ended. The adapter decodes it, the state records it for the incarnation that sent it, NS2030 to NS2032 and a gauge show it. An answer without the header ends a limit only if its request was sent after the limit was last named, as answers overtake each other.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -113,6 +113,22 @@
     text: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLimited:
+    """An upstream named in an answer the rate of requests that it takes, or none.
+
+    ``per_s`` is None if the answer names no rate. ``sent_ms`` is when the answered
+    request was sent, None if another request was answered. ``unreadable`` is the text
+    of a rate that cannot be read, empty otherwise.
+    """
+
+    now_ms: Millis
+    upstream: Upstream
+    per_s: float | None
+    sent_ms: Millis | None
+    unreadable: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class OptionsChanged:
     """The settings of this process changed."""
@@ -243,6 +259,7 @@
     | StoreRestored
     | UpstreamLeaving
     | UpstreamPaused
+    | UpstreamLimited
     | OptionsChanged
     | PeerReported
     | RequestArrived
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -31,11 +31,16 @@
     StoreRestored,
     Tick,
     UpstreamLeaving,
+    UpstreamLimited,
     UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._named_limits import (
+    with_named_limit,
+    without_expired_limits,
+)
 from nutmegslip_decisions.direct._pace import with_pace
 from nutmegslip_decisions.direct._part_evidence import PartReport
 from nutmegslip_decisions.direct._pauses import with_pause
@@ -120,6 +125,11 @@
             return with_announcement(state, upstream, now_ms), ()
         case UpstreamPaused(now_ms, upstream, asked_ms):
             return with_pause(state, upstream, asked_ms, now_ms), ()
+        case UpstreamLimited(now_ms, upstream, per_s, sent_ms, unreadable):
+            if unreadable:
+                return state, ()
+            state = with_named_limit(state, upstream, per_s, sent_ms, now_ms)
+            return dispatch(state, upstream.service, now_ms)
         case OptionsChanged(_, options):
             return state._replace(options=options), ()
 
@@ -134,6 +144,7 @@
     state = without_forgotten(without_copy(state, now_ms), now_ms)
     state = without_expired_parts(state, now_ms)
     state = without_expired_ends(state, now_ms)
+    state = without_expired_limits(state, now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -11,6 +11,7 @@
     CallerRequest,
     Configuration,
     EndedProcess,
+    NamedLimit,
     Request,
     SpendingReport,
     Standing,
@@ -123,6 +124,9 @@
     processes of entries that have ended or may have, by id; ``records`` is None until
     complete records of them were received.
 
+    ``named_limits`` are what upstreams have said of the requests that they take, by
+    upstream.
+
     ``lapsing`` maps removed upstreams to the time until which they stay in use.
     ``awaits_copy`` is whether the store was restored from a copy and not listed since;
     until ``copy_until_ms`` the list may be that of the copy, and ``withheld`` maps the
@@ -148,6 +152,7 @@
     zones_read: frozenset[str] = frozenset()
     zones_out: frozenset[str] = frozenset()
     upstream_stats: Map[str, UpstreamStats] = Map()
+    named_limits: Map[str, NamedLimit] = Map()
     peers: Map[str, PeerReport] = Map()
     peer_in_flight: Map[str, int] = Map()
     sharing: Map[str, Millis] = Map()
@@ -171,3 +176,10 @@
     def stats_of(self, upstream_id: str) -> UpstreamStats:
         """Return the statistics of an upstream."""
         return self.upstream_stats.get(upstream_id, _NO_STATS)
+
+    def limit_of(self, upstream: Upstream) -> NamedLimit | None:
+        """Return the limit that an incarnation has named, None without one."""
+        limit = self.named_limits.get(upstream.id)
+        if limit is None or limit.born_ms != upstream.born_ms or limit.per_s is None:
+            return None
+        return limit
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -170,6 +170,19 @@
     fence: int = 0
 
 
+class NamedLimit(NamedTuple):
+    """What an incarnation of an upstream last said of the requests that it takes.
+
+    ``per_s`` is the rate over all entries, None if it names none. ``named_ms`` is when
+    the answer that said so arrived, ``peer`` the entry that got it, empty for this one.
+    """
+
+    born_ms: int
+    per_s: float | None
+    named_ms: Millis
+    peer: str = ""
+
+
 class EndedProcess(NamedTuple):
     """A process of an entry that has ended, or may have, and the retries it sent.
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/__init__.py
@@ -7,6 +7,7 @@
     CallerFields,
     HeaderCodec,
     Pause,
+    RateLimit,
 )
 from nutmegslip_entry.direct._log_lines import log_lines
 from nutmegslip_entry.direct._metrics import Metrics
@@ -27,6 +28,7 @@
     "Program",
     "RankClient",
     "RankLayout",
+    "RateLimit",
     "Settings",
     "SettingsError",
     "StateMachine",
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -272,7 +272,9 @@
         for _ in range(MAX_OTHER_ANSWERS + 1):
             answer = connection.read_head(request.deadline_ms, head_request=head_only)
             fields = self._header_codec.answer_fields(answer)
-            self._machine.record_answer(upstream, fields)
+            own = fields.request_id == request.request_id
+            sent_ms = request.sent_at_ms if own else None
+            self._machine.record_answer(upstream, fields, sent_ms)
             named = fields.request_id is not None or fields.not_run
             if connection.was_used and not named:
                 raise ConnectionBroken("an answer without an id on a used connection")
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_header_codec.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_header_codec.py
@@ -28,6 +28,16 @@
     text: str
 
 
+class RateLimit(NamedTuple):
+    """The rate of requests that an upstream takes from all entries together.
+
+    ``per_s`` is None where the header's ``text`` cannot be read.
+    """
+
+    per_s: float | None
+    text: str
+
+
 class AnswerFields(NamedTuple):
     """Fields of an upstream's answer headers.
 
@@ -36,6 +46,7 @@
     ``misdirected`` is whether another upstream has the address. ``at_fault`` names
     the upstream that prevented the answer. ``leaving`` is whether the upstream that
     answered leaves, ``pause`` its wish for a pause, None if it has none.
+    ``limit`` is the rate of requests that it takes, None if it names none.
     """
 
     request_id: str | None
@@ -45,6 +56,7 @@
     at_fault: str
     leaving: bool = False
     pause: Pause | None = None
+    limit: RateLimit | None = None
 
 
 class HeaderCodec(Protocol):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -27,6 +27,7 @@
     StoreReached,
     StoreRestored,
     UpstreamLeaving,
+    UpstreamLimited,
     UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
@@ -95,6 +96,8 @@
                     pause_ms=max(until_ms - now_ms, 0),
                     asked_ms=asked_ms,
                 )
+        case UpstreamLimited(_, upstream, _, _, unreadable) if unreadable:
+            yield _log_line("limit-unreadable", upstream=upstream.id, value=unreadable)
         case AttemptFailed(_, ticket, failure):
             request = before.requests.get(ticket)
             if request is not None:
@@ -126,6 +129,7 @@
                 )
     yield from _suspicion_lines(before, after)
     yield from _part_lines(before, after)
+    yield from _limit_lines(before, after)
     yield from (
         line
         for effect in effects
@@ -171,6 +175,27 @@
             yield _log_line("group-trusted", group=group, epoch=suspicion.epoch)
 
 
+def _limit_lines(before: State, after: State) -> Iterator[LogLine]:
+    """Yield a line for each limit that an upstream named anew, changed or ended."""
+    if before.named_limits is after.named_limits:
+        return
+    for upstream_id, limit in after.named_limits.items():
+        known = before.named_limits.get(upstream_id)
+        if known is not None and known[:2] == limit[:2]:
+            continue
+        source = limit.peer or "answer"
+        if limit.per_s is None:
+            yield _log_line("limit-ended", upstream=upstream_id, source=source)
+        else:
+            yield _log_line(
+                "upstream-limited",
+                upstream=upstream_id,
+                per_s=limit.per_s,
+                source=source,
+                entries=after.sharing_count(),
+            )
+
+
 def _part_lines(before: State, after: State) -> Iterator[LogLine]:
     """Yield a line for each prompt part whose suspicion or blame changed."""
     old, new = before.parts, after.parts
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -52,6 +52,11 @@
             ["service"],
             registry=self.registry,
         )
+        self._limited_upstreams = Gauge(
+            "nutmegslip_limited_upstreams",
+            "Upstreams that name a limit on the requests that they take.",
+            registry=self.registry,
+        )
         self._blamed_parts = Gauge(
             "nutmegslip_blamed_parts",
             "Prompt parts that crash upstreams; requests with them are refused.",
@@ -74,6 +79,8 @@
         self._store_calls.set(store_calls)
         self._version.set(configuration.version if configuration else 0)
         self._blamed_parts.set(len(state.parts.blames))
+        limits = state.named_limits.values()
+        self._limited_upstreams.set(sum(limit.per_s is not None for limit in limits))
         for service in state.loads:
             budget = retry_budget(state, service, now_ms)
             self._retries.labels(service).set(budget.retries)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -14,6 +14,7 @@
     Send,
     Upstream,
     UpstreamLeaving,
+    UpstreamLimited,
     UpstreamPaused,
 )
 from nutmegslip_entry.direct._header_codec import AnswerFields
@@ -59,13 +60,26 @@
         for effect in effects:
             self._deliver_effect(effect)
 
-    def record_answer(self, upstream: Upstream, fields: AnswerFields) -> None:
-        """Dispatch what the head of an answer says about its upstream."""
+    def record_answer(
+        self, upstream: Upstream, fields: AnswerFields, sent_ms: int | None
+    ) -> None:
+        """Dispatch what the head of an answer says about its upstream.
+
+        ``sent_ms`` is when its request was sent, None if it is a late answer.
+        """
         now_ms = self.clock()
         if fields.leaving:
             self.dispatch(UpstreamLeaving(now_ms, upstream, fields.misdirected))
         if fields.pause is not None:
             self.dispatch(UpstreamPaused(now_ms, upstream, *fields.pause))
+        if fields.misdirected:
+            return
+        if fields.limit is not None:
+            per_s, text = fields.limit
+            unreadable = text if per_s is None else ""
+            self.dispatch(UpstreamLimited(now_ms, upstream, per_s, sent_ms, unreadable))
+        elif self._state.limit_of(upstream) is not None:
+            self.dispatch(UpstreamLimited(now_ms, upstream, None, sent_ms))
 
     def record_gap(self, upstream: Upstream, gap_ms: int) -> None:
         """Record one gap between stream events for the next ``dispatch_paces``."""
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -246,6 +246,32 @@
         "If leaders change often, look for entries that restart or lose contact.",
         ("leads",),
     ),
+    EventKind(
+        2030,
+        "upstream-limited",
+        Level.WARNING,
+        "An upstream named the requests per second that it takes from all entries, or "
+        "another rate than before; the entries keep to it together.",
+        "Look why the upstream is in need. Compare its arrivals with 'per_s': the "
+        "request-sent lines of all entries together.",
+        ("upstream", "per_s", "source", "entries"),
+    ),
+    EventKind(
+        2031,
+        "limit-ended",
+        Level.INFO,
+        "An upstream no longer names a limit, by an answer or by the entry 'source'.",
+        NO_REMEDY,
+        ("upstream", "source"),
+    ),
+    EventKind(
+        2032,
+        "limit-unreadable",
+        Level.WARNING,
+        "An upstream named a limit that cannot be read; what was known stays in force.",
+        "Correct the value that the upstream sends: requests per second as a decimal.",
+        ("upstream", "value"),
+    ),
     EventKind(
         2101,
         "request-sent",
