--- a/tests/retry_budget_world.py
+++ b/tests/retry_budget_world.py
@@ -54,6 +54,7 @@
     request: object
     sent_ms: int
     fails: bool
+    upstream_id: str
     begun: bool = False
 
 
@@ -166,8 +167,9 @@
                 if effect.request.sends > 1:
                     self.retries_ms.append(self.now_ms)
                 fails = failing and self.random.random() < self.load.fail_share
+                upstream_id = effect.upstream.id
                 self.attempts.append(
-                    Attempt(number, effect.request, self.now_ms, fails)
+                    Attempt(number, effect.request, self.now_ms, fails, upstream_id)
                 )
 
     def _end_attempts(self) -> None:
