Let calls to ranks record what their answers say again

No test saw it, as the test of these calls passed a stand-in; it passes the real method now and failed before this change (2 errors). An answer of a rank's own report may name a limit, but ends none, as it answers no caller's request.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -61,11 +61,12 @@
             self._deliver_effect(effect)
 
     def record_answer(
-        self, upstream: Upstream, fields: AnswerFields, sent_ms: int | None
+        self, upstream: Upstream, fields: AnswerFields, sent_ms: int | None = None
     ) -> None:
         """Dispatch what the head of an answer says about its upstream.
 
-        ``sent_ms`` is when its request was sent, None if it is a late answer.
+        ``sent_ms`` is when the request of a caller was sent that it answers, None if it
+        answers none.
         """
         now_ms = self.clock()
         if fields.leaving:
--- a/tests/test_direct_log_lines.py
+++ b/tests/test_direct_log_lines.py
@@ -24,7 +24,7 @@
     StoreLost,
     UpstreamPublished,
 )
-from nutmegslip_entry.direct import Metrics, Pool, log_lines
+from nutmegslip_entry.direct import Metrics, Pool, StateMachine, log_lines
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.eventlog import event_named
 from tests.direct_world import HOST, KEY, World, upstream
@@ -151,11 +151,12 @@
             Fault.RUBBISH: "no HTTP",
             Fault.NONE: "cannot be read",
         }
+        machine = StateMachine(Options("e1"), boottime_ms, log, Metrics())
         runner = Runner("m1")
         host, _, port = runner.address.rpartition(":")
         rank = upstream("m1", host=host, port=int(port))
         client = HttpRankClient(
-            Pool(boottime_ms), boottime_ms, log, lambda _rank, _fields: None
+            Pool(boottime_ms), boottime_ms, log, machine.record_answer
         )
         for fault, reason in answers.items():
             with self.subTest(fault=fault):
@@ -168,7 +169,7 @@
                 self.assertIn(reason, fields["reason"])
         runner.close()
         unreachable_client = HttpRankClient(
-            Pool(boottime_ms), boottime_ms, log, lambda _rank, _fields: None
+            Pool(boottime_ms), boottime_ms, log, machine.record_answer
         )
         self.assertIsNone(unreachable_client.counts(rank))
         self.assertIn("refused", lines.pop()[1]["reason"])
