Share the rate that an upstream names among a few entries

Fix: up to four entries, which all determine alike by rendezvous hashing over the entries that share limits, have equal shares of the rate; the others send that upstream nothing. In 4 s at most 4 + 4 x rate are sent, where 5 + 6 x rate are allowed; the rest is room for late arrivals and for a change of the entries. It is a part of the shares that cold upstreams have: both stand in _upstream_shares, over the sharers that the retry budget counts. A share is used in any zone; waits are predicted from the shares, so requests beyond all of them are refused at once with a time to come back.

Ruled out: counts of what others sent, in reports each 100 ms: the sharers would all see room at once, and exceed the rate by one request each again and again. One owner for each upstream: with three upstreams and three entries, nearly one entry in three would own none.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -41,6 +41,7 @@
     next_tenure,
     standing_of,
 )
+from nutmegslip_decisions.direct._named_limits import limit_report
 from nutmegslip_decisions.direct._options import Options
 from nutmegslip_decisions.direct._part_evidence import Blame, Crash, PartReport
 from nutmegslip_decisions.direct._pauses import is_paused
@@ -138,6 +139,7 @@
     "is_paused",
     "is_ready",
     "judge",
+    "limit_report",
     "load_report",
     "next_tenure",
     "part_report",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -19,7 +19,12 @@
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._groups import is_usable
 from nutmegslip_decisions.direct._state import State, UpstreamStats
-from nutmegslip_decisions.direct._types import Request, Service, Upstream
+from nutmegslip_decisions.direct._types import Request, Upstream
+from nutmegslip_decisions.direct._upstream_shares import (
+    cold_limit_per_entry,
+    has_credit,
+    share_per_s,
+)
 from nutmegslip_decisions.model import Millis
 
 DISTANT_ZONE_SLOTS = 1  # more evens the load less, and the ranks of a group share it
@@ -27,10 +32,14 @@
 
 
 class Candidate(NamedTuple):
-    """An upstream and the requests that all entries have in flight there."""
+    """An upstream and the requests that all entries have in flight there.
+
+    ``is_limited`` is whether it names a rate, of which this entry has a request left.
+    """
 
     upstream: Upstream
     in_flight: int
+    is_limited: bool = False
 
     @property
     def load(self) -> float:
@@ -38,8 +47,11 @@
         return self.in_flight / self.upstream.slots
 
     def cost(self, zone: str) -> float:
-        """Return the load, one slot higher in another availability zone."""
-        distant = self.upstream.zone != zone
+        """Return the load, one slot higher in another availability zone.
+
+        A share of a named rate is used wherever the upstream is; it is small.
+        """
+        distant = self.upstream.zone != zone and not self.is_limited
         return self.load + distant * DISTANT_ZONE_SLOTS / self.upstream.slots
 
     @property
@@ -53,13 +65,15 @@
 
     ``candidates`` are the upstreams that may receive a request, in groups with a
     free open slot; ``slots`` counts the open slots of all usable upstreams, whether
-    taken or free. ``resume_ms`` is when the first paused upstream accepts requests
-    again, None if none is paused.
+    taken or free; of those that name a rate, as many as the rate keeps busy.
+    ``resume_ms`` is when the first paused upstream accepts requests again, None if none
+    is paused. ``is_limited`` is whether an upstream names a rate.
     """
 
     candidates: tuple[Candidate, ...]
     slots: float
     resume_ms: Millis | None = None
+    is_limited: bool = False
 
     @property
     def is_paused(self) -> bool:
@@ -91,11 +105,13 @@
 def capacity_of(state: State, service: str, now_ms: Millis) -> Capacity:
     """Return the current capacity of a service."""
     cold_limit = cold_limit_per_entry(state, service)
-    open_shares = load_of(state, service).open_shares
+    load = load_of(state, service)
     slots: Counter[str] = Counter()
+    busy_slots: Counter[str] = Counter()
     taken: Counter[str] = Counter()
     candidates: list[Candidate] = []
     pauses: list[Millis] = []
+    limited = False
     for upstream, stats in _usable_upstreams(state, service, now_ms):
         if stats.paused_until_ms > now_ms:
             pauses.append(stats.paused_until_ms)
@@ -103,10 +119,16 @@
         in_flight = stats.in_flight + state.peer_in_flight.get(upstream.id, 0)
         slots[upstream.group] += upstream.slots
         taken[upstream.group] += in_flight
-        if cold_limit is None or stats.sent.count(now_ms) < cold_limit:
-            candidates.append(Candidate(upstream, in_flight))
+        share = share_per_s(state, upstream, now_ms)
+        limited = limited or share is not None
+        busy_slots[upstream.group] += _busy_slots(state, upstream, share, load.hold_ms)
+        if cold_limit is not None and stats.sent.count(now_ms) >= cold_limit:
+            continue
+        if has_credit(state, upstream, stats, now_ms):
+            candidates.append(Candidate(upstream, in_flight, share is not None))
     open_slots = {
-        group: count * open_shares.get(group, 1.0) for group, count in slots.items()
+        group: count * load.open_shares.get(group, 1.0)
+        for group, count in slots.items()
     }
     free_groups = {group for group, count in open_slots.items() if taken[group] < count}
     return Capacity(
@@ -115,24 +137,26 @@
             for candidate in candidates
             if candidate.upstream.group in free_groups
         ),
-        sum(open_slots.values()),
+        sum(
+            count * load.open_shares.get(group, 1.0)
+            for group, count in busy_slots.items()
+        ),
         min(pauses, default=None),
+        limited,
     )
 
 
-def cold_limit_per_entry(state: State, service: str) -> int | None:
-    """Return how many requests this entry may send to an upstream in a second.
+def _busy_slots(
+    state: State, upstream: Upstream, share: float | None, hold_ms: float
+) -> float:
+    """Return the slots of an upstream that are busy if this entry's share is used.
 
-    This is the entry's share of the rate limit of a cold upstream, None where the
-    service has no cold start. It applies to warm upstreams too, since they may turn
-    cold without notice.
+    Entries predict waits as if all of them used the same slots, so that the share
+    counts once for each.
     """
-    service_config = _service(state, service)
-    if service_config is None or service_config.cold_per_s <= 0:
-        return None
-    options = state.options
-    bound = service_config.cold_per_s * options.cold_multiplier + options.cold_slack
-    return max(1, int(bound / state.sharing_count()))
+    if share is None:
+        return upstream.slots
+    return min(upstream.slots, share * state.serving_count() * hold_ms / 1_000)
 
 
 def _usable_upstreams(
@@ -149,10 +173,6 @@
         yield upstream, state.stats_of(upstream_id)
 
 
-def _service(state: State, service: str) -> Service | None:
-    return state.configuration and state.configuration.services.get(service)
-
-
 def _is_avoided(state: State, upstream: Upstream, now_ms: Millis) -> bool:
     return state.stats_of(upstream.id).avoid_until_ms > now_ms
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -11,6 +11,7 @@
 from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
+from nutmegslip_decisions.direct._upstream_shares import with_credit_spent
 from nutmegslip_decisions.direct._waiting import (
     dequeue,
     enqueue,
@@ -35,7 +36,9 @@
             return send(state, request, upstream.id, now_ms)
     wait_ms = predicted_wait_ms(state, request, capacity, now_ms)
     if wait_ms is None:
-        return refuse(state, request, RefusalKind.NO_UPSTREAM, now_ms)
+        limited = capacity.is_limited
+        kind = RefusalKind.OVERLOADED if limited else RefusalKind.NO_UPSTREAM
+        return refuse(state, request, kind, now_ms)
     if not request.streaming and now_ms + wait_ms > latest_send_ms(state, request):
         return refuse(state, request, RefusalKind.OVERLOADED, now_ms)
     if _is_paused_past_deadline(request, capacity):
@@ -56,6 +59,7 @@
         sends=request.sends + 1,
     )
     stats = state.stats_of(upstream_id)
+    stats = with_credit_spent(state, upstream, stats, now_ms)
     updated = stats._replace(in_flight=stats.in_flight + 1, sent=stats.sent.add(now_ms))
     state = state._replace(
         requests=state.requests.set(request.ticket, sent),
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -10,6 +10,7 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    NamedLimit,
     Request,
     SpendingReport,
     Standing,
@@ -20,6 +21,7 @@
 _NO_PARTS = PartReport()
 _NO_STANDING = Standing()
 _NO_SPENDING = SpendingReport()
+_NO_LIMITS: Map[str, NamedLimit] = Map()
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +141,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReported:
-    """Another entry reported its requests in flight, prompt parts and retries."""
+    """Another entry reported its requests in flight, and what it knows of limits."""
 
     now_ms: Millis
     peer: str
@@ -147,6 +149,7 @@
     parts: PartReport = _NO_PARTS
     standing: Standing = _NO_STANDING
     spending: SpendingReport = _NO_SPENDING
+    limits: Map[str, NamedLimit] = _NO_LIMITS
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
@@ -44,7 +44,7 @@
         lapsing = lapsing.delete(upstream.id)
     if old is not None and old.born_ms != upstream.born_ms and old.id in upstream_stats:
         fresh = upstream_stats[old.id]._replace(
-            failures=0, avoid_until_ms=0, paused_until_ms=0
+            failures=0, avoid_until_ms=0, paused_until_ms=0, credit=0.0
         )
         upstream_stats = upstream_stats.set(old.id, fresh)
     departures = state.departures
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -39,6 +39,7 @@
 )
 from nutmegslip_decisions.direct._named_limits import (
     with_named_limit,
+    with_reported_limits,
     without_expired_limits,
 )
 from nutmegslip_decisions.direct._pace import with_pace
@@ -92,12 +93,13 @@
             return finish(state, ticket, answered, now_ms)
         case Tick(now_ms):
             return _tick(state, now_ms)
-        case PeerReported(now_ms, peer, in_flight, parts, standing, spending):
+        case PeerReported(now_ms, peer, in_flight, parts, standing, spending, limits):
             old = state.peers.get(peer)
             report = PeerReport(now_ms, in_flight, parts, standing, spending)
             state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
+            state = with_reported_limits(state, peer, limits)
             return dispatch_all(state, now_ms)
         case ConfigurationPublished(_, configuration):
             return with_configuration(state, configuration), ()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -28,8 +28,9 @@
 class UpstreamStats(NamedTuple):
     """Statistics of an upstream from this entry's own attempts.
 
-    Until ``avoid_until_ms`` others are preferred to it; until ``paused_until_ms``,
-    which the upstream itself asked for, nothing is sent to it.
+    ``credit`` is what was left at ``credit_ms`` of its share of the rate that the
+    upstream names. Until ``avoid_until_ms`` others are preferred to it; until
+    ``paused_until_ms``, which the upstream itself asked for, nothing is sent to it.
     """
 
     in_flight: int = 0
@@ -37,6 +38,8 @@
     failures: int = 0
     avoid_until_ms: Millis = 0
     paused_until_ms: Millis = 0
+    credit: float = 0.0
+    credit_ms: Millis = 0
 
 
 _NO_STATS = UpstreamStats()
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -1,4 +1,4 @@
-"""Exchange reports with other entries: requests in flight, suspect parts, retries.
+"""Exchange reports with other entries: requests in flight, suspect parts, limits.
 
 UDP fits better than TCP here: the next report replaces a lost one, and none is
 delayed behind an older one.
@@ -14,6 +14,7 @@
 from nutmegslip_decisions.direct import (
     PeerReported,
     Standing,
+    limit_report,
     load_report,
     part_report,
     spending_report,
@@ -82,6 +83,7 @@
                 report.parts,
                 report.standing,
                 report.spending,
+                report.limits,
             )
         )
 
@@ -94,14 +96,20 @@
             state = self._machine.state
             standing = self._standing()
             spending = spending_report(state, now_ms)
-            current = load_report(state), part_report(state), standing, spending
+            limits = limit_report(state, now_ms)
+            current = load_report(state), part_report(state), standing, spending, limits
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
             last = current
             in_flight, parts, *_ = current
             report = Report(
-                Map(in_flight), tuple(self._last_received_ms), parts, standing, spending
+                Map(in_flight),
+                tuple(self._last_received_ms),
+                parts,
+                standing,
+                spending,
+                limits,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -12,6 +12,7 @@
     Blame,
     Crash,
     EndedProcess,
+    NamedLimit,
     PartReport,
     SpendingReport,
     Standing,
@@ -24,13 +25,14 @@
 
 
 class Report(NamedTuple):
-    """Requests in flight by upstream, known peers, suspect parts, and retries."""
+    """Requests in flight by upstream, known peers, and what the entry knows."""
 
     in_flight: Map[str, int]
     peers: tuple[str, ...]
     parts: PartReport = PartReport()
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
+    limits: Map[str, NamedLimit] = Map()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -53,7 +55,11 @@
     ]
     encoded = [dict(report.in_flight), list(report.peers), list(report.standing)]
     spending = _encode_spending(report.spending, now_ms)
-    return cbor2.dumps([*encoded, fields, spending])
+    limits = {
+        upstream_id: [limit.born_ms, limit.per_s, now_ms - limit.named_ms]
+        for upstream_id, limit in report.limits.items()
+    }
+    return cbor2.dumps([*encoded, fields, spending, limits])
 
 
 def _encode_spending(spending: SpendingReport, now_ms: Millis) -> list:
@@ -75,6 +81,7 @@
             _decode_parts(*more[1], now_ms) if more[1:] else PartReport(),
             Standing(bool(leads), bool(may_lead), int(fence)),
             _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
+            _decode_limits(more[3], now_ms) if more[3:] else Map(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -130,5 +137,18 @@
     )
 
 
+def _decode_limits(limits: dict, now_ms: Millis) -> Map[str, NamedLimit]:
+    return Map(
+        {
+            str(upstream_id): NamedLimit(
+                int(born_ms),
+                None if per_s is None else float(per_s),
+                now_ms - int(age_ms),
+            )
+            for upstream_id, (born_ms, per_s, age_ms) in limits.items()
+        }
+    )
+
+
 def _decode_retries(retries: dict) -> Map[str, int]:
     return Map({str(service): int(count) for service, count in retries.items()})
--- a/tests/retry_budget_world.py
+++ b/tests/retry_budget_world.py
@@ -16,6 +16,7 @@
     ResponseStarted,
     Send,
     Tick,
+    limit_report,
     load_report,
     spending_report,
 )
@@ -195,6 +196,7 @@
             f"10.0.0.{number}",
             Map(load_report(state)),
             spending=spending_report(state, self.now_ms),
+            limits=limit_report(state, self.now_ms),
         )
         for other in range(len(self.entries)):
             heard = not (self._is_cut(number) or self._is_cut(other))
