Show in the log which failed attempts are of the same request

Attempts that broke off could not be told apart: those of a request that comes again with another id and at another entry, and those of sound requests that an upstream had beside it. NS2103 now has a fingerprint, a hash of host, path and query, body and client account. What is decided is as before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -1,5 +1,7 @@
 """Handle the events of one request, from its arrival to its final answer."""
 
+import xxhash
+
 from nutmegslip_decisions.direct._budget import count_arrival, load_of
 from nutmegslip_decisions.direct._crash_parts import (
     is_suspected,
@@ -82,9 +84,18 @@
         arrived_ms=arrived_ms,
         deadline_ms=deadline_ms,
         parts=caller_request.parts,
+        fingerprint=_fingerprint(caller_request, account),
     )
 
 
+def _fingerprint(caller_request: CallerRequest, account: Account) -> str:
+    """Return what tells a request that comes again: what it asks for, and for whom."""
+    if not caller_request.fingerprint:
+        return ""
+    text = f"{account.name} {caller_request.fingerprint}"
+    return xxhash.xxh3_64_hexdigest(text.encode())
+
+
 def record_start(state: State, ticket: int, now_ms: Millis) -> State:
     """Measure the time to the start of an answer; trust its upstream's group again."""
     request = state.requests.get(ticket)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -215,6 +215,7 @@
 
     ``ticket`` identifies it within this process. ``caller_deadline_ms`` is when the
     caller stops waiting, None if unknown. ``parts`` are the shared parts of its prompt.
+    ``fingerprint`` is a hash of what it asks for, empty if unknown.
     """
 
     ticket: int
@@ -224,6 +225,7 @@
     key: str | None
     caller_deadline_ms: Millis | None
     parts: tuple[str, ...] = ()
+    fingerprint: str = ""
 
 
 class Request(NamedTuple):
@@ -232,7 +234,8 @@
     ``sends`` counts towards the route's attempts. ``reached`` counts the attempts
     that arrived at an upstream, misdirected ones included. ``begun`` is whether the
     answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
-    before it did.
+    before it did. ``fingerprint`` is the same for a request that a caller sends again,
+    at whichever entry.
     """
 
     ticket: int
@@ -253,3 +256,4 @@
     parts: tuple[str, ...] = ()
     begun: bool = False
     met_crash: bool = False
+    fingerprint: str = ""
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import xxhash
 
 from nutmegslip_decisions.direct import (
     AttemptFailed,
@@ -98,6 +99,7 @@
     ) -> CallerRequest:
         timeout_ms = fields.timeout_ms
         host = (http_request.header(b"host") or b"").decode("latin-1").lower()
+        asked = b"\n".join((host.encode(), http_request.target, http_request.body))
         return CallerRequest(
             ticket=ticket,
             request_id=fields.request_id,
@@ -108,6 +110,7 @@
                 None if timeout_ms is None else self._machine.clock() + timeout_ms
             ),
             parts=fields.shared_parts,
+            fingerprint=xxhash.xxh3_64_hexdigest(asked),
         )
 
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -111,6 +111,7 @@
                         "after_ms": event.now_ms - request.sent_at_ms,
                         "attempts": request.sends,
                         "avoided_ms": _avoided_ms(after, request, event.now_ms),
+                        "fingerprint": request.fingerprint,
                     },
                 )
         case PaceMeasured(_, service, group, gap_ms):
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -311,7 +311,15 @@
         Level.WARNING,
         "An attempt at an upstream failed.",
         "If one upstream fails often, check it, or take its zone out of service.",
-        ("upstream", "failure", "reason", "after_ms", "attempts", "avoided_ms"),
+        (
+            "upstream",
+            "failure",
+            "reason",
+            "after_ms",
+            "attempts",
+            "avoided_ms",
+            "fingerprint",
+        ),
     ),
     EventKind(
         2104,
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -128,12 +128,13 @@
         wait_ms: int | None = None,
         request_id: str = "",
         parts: tuple[str, ...] = (),
+        fingerprint: str = "",
     ) -> tuple[Effect, ...]:
         """Submit a caller's request and return the immediate effects."""
         self.tickets += 1
         deadline_ms = None if wait_ms is None else self.now_ms + wait_ms
         name = request_id or f"r{self.tickets}"
         caller_request = CallerRequest(
-            self.tickets, name, HOST, path, key, deadline_ms, parts
+            self.tickets, name, HOST, path, key, deadline_ms, parts, fingerprint
         )
         return self.take(RequestArrived(self.now_ms, caller_request))
