Withhold a request that crashes each upstream that runs it

Sound callers of that service were refused with it.

Fix: a whole request is one more subject of the same evidence. Its broken attempts count once their upstream is found to be gone: refused, no longer listed, or listed in another incarnation. So lost answers are no evidence however many they are, and crashes of different upstreams at once are several; a group's ranks fail together and count once. Until that is known, a suspected request is held as if it were in flight. After three the request is refused at once, as not run, with a time to come back, and probed as parts are. Reports carry the places of crashes apart from their other fields, which an entry of an earlier build counts. Crashes that repeat are kept and reported before single ones.

Ruled out: counting by path alone, as queries differ; and the method, which the report does not name.

With sound requests beside it and with a tenth, half or nine tenths of all attempts broken, no sound one is refused for it.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -23,12 +23,14 @@
 
 Step = tuple[State, tuple[Effect, ...]]
 
+_CRASHING_KINDS = (RefusalKind.CRASHING_PART, RefusalKind.CRASHING_REQUEST)
+
 
 def send_or_queue(state: State, request: Request, now_ms: Millis) -> Step:
     """Send a request if a slot is free, else queue or refuse it."""
     gate = part_gate(state, request, now_ms)
     if gate is Gate.CLOSED:
-        return refuse(state, request, RefusalKind.CRASHING_PART, now_ms)
+        return refuse(state, request, _crashing_kind(state, request), now_ms)
     capacity = capacity_of(state, request.service, now_ms)
     if gate is Gate.OPEN and not _has_sendable(state, request.service, now_ms):
         upstream = choose(state, capacity, request, now_ms)
@@ -158,7 +160,7 @@
     if request.deadline_ms <= now_ms:
         return RefusalKind.DEADLINE
     if part_gate(state, request, now_ms) is Gate.CLOSED:
-        return RefusalKind.CRASHING_PART
+        return _crashing_kind(state, request)
     # While every upstream is paused, no slot can become free before a pause ends.
     free_ms = capacity.resume_ms if capacity.is_paused else now_ms
     if latest_send_ms(state, request) <= free_ms and not request.streaming:
@@ -175,7 +177,7 @@
 def refuse(state: State, request: Request, kind: RefusalKind, now_ms: Millis) -> Step:
     """Refuse a request, with a retry delay if it has not run."""
     ran, wait_ms = request.may_have_run, 0
-    if not ran and kind is RefusalKind.CRASHING_PART:
+    if not ran and kind in _CRASHING_KINDS:
         wait_ms = blame_delay_ms(state, request, now_ms)
     elif not ran:
         capacity = capacity_of(state, request.service, now_ms)
@@ -183,6 +185,11 @@
     return remove_request(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
 
 
+def _crashing_kind(state: State, request: Request) -> RefusalKind:
+    blamed_part = any(part in state.parts.blames for part in request.parts)
+    return RefusalKind.CRASHING_PART if blamed_part else RefusalKind.CRASHING_REQUEST
+
+
 def refuse_failed(state: State, request: Request, now_ms: Millis) -> Step:
     """Refuse a request whose last attempt failed and that is not sent again."""
     kind = RefusalKind.BROKEN if request.may_have_run else RefusalKind.DECLINED
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -286,6 +286,7 @@
     DEADLINE = "deadline"
     BROKEN = "broken"
     CRASHING_PART = "crashing-part"
+    CRASHING_REQUEST = "crashing-request"
 
     @property
     def status(self) -> int:
@@ -312,6 +313,8 @@
     RefusalKind.CRASHING_PART: "A shared part of this prompt crashes the model; the "
     "request has not run. Send the prompt without that part, or after the Retry-After "
     "delay.",
+    RefusalKind.CRASHING_REQUEST: "This request crashes the upstreams that run it; it "
+    "has not run this time. Change it, or send it after the Retry-After delay.",
 }
 _REMEDIES = {
     RefusalKind.NO_CONFIGURATION: "No configuration was read; check the "
@@ -329,6 +332,8 @@
     "the request.",
     RefusalKind.CRASHING_PART: "Look for part-blamed lines; find what the prompts with "
     "that part hold. Restart all entries to lift the blame.",
+    RefusalKind.CRASHING_REQUEST: "Look for part-blamed lines, and for the fingerprint "
+    "in lines of failed attempts. Restart all entries to lift the blame.",
 }
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -11,6 +11,10 @@
 blamed if its presence in all of them is unlikely to be chance. While upstreams fail on
 any request, some part is in every crash of its own few requests, so a crash also has
 the share of other attempts that failed lately.
+
+A whole request that comes again is known by its fingerprint, and most requests come
+once. So its broken attempts count only once their upstream is found to be gone, also
+two at the same time if at upstreams that do not fail together; whatever else fails.
 """
 
 from collections.abc import Callable
@@ -21,12 +25,14 @@
 
 from nutmegslip_decisions.model import Millis
 
+CONFIRM_MS = 5_000  # in which an upstream that ended is found to be gone
+MAX_UNCONFIRMED = 32  # crashes of an upstream
 INNOCENT_MS = 2_000  # after an answer with the part has begun
 CRASH_MEMORY_MS = 600_000
 BEGUN_MEMORY_MS = 30_000  # in which each peer is reached, also one that was cut off
 MAX_CRASHES_PER_PART = 4
 MAX_OUTCOMES = 20  # the last attempts, by which the share of failing ones is measured
-MAX_PARTS = 256  # those whose last crash is the latest are kept
+MAX_PARTS = 256  # with crashes; those with the most, then the latest, are kept
 MAX_REPORTED_PARTS = 16  # keeps a report within one datagram
 MAX_COUNTED_PARTS = 4_096
 HALVING_MS = 5_000  # of the counts of arrivals
@@ -37,13 +43,15 @@
     """When a crashed attempt was sent, and when it ended.
 
     ``share`` is the share of the entry's requests that had the part, ``failing`` the
-    share of its last attempts without the part that crashed.
+    share of its last attempts without the part that crashed. ``place`` differs between
+    upstreams that do not fail together, 0 if unknown.
     """
 
     sent_ms: Millis
     ended_ms: Millis
     share: float = 0.0
     failing: float = 0.0
+    place: int = 0
 
 
 class Outcome(NamedTuple):
@@ -53,6 +61,13 @@
     parts: tuple[str, ...]
 
 
+class UnconfirmedCrash(NamedTuple):
+    """A broken attempt that counts as a crash if its upstream turns out to be gone."""
+
+    subject: str
+    crash: Crash
+
+
 class Blame(NamedTuple):
     """A part that crashes upstreams.
 
@@ -85,6 +100,8 @@
     ``begun`` is when one with a suspected part last began at any entry. ``counts`` are
     the crashes in sequence over all entries, for the parts that have any. ``arrived``
     and ``total`` count the requests that arrived here, halved at ``halve_ms``.
+    ``unconfirmed`` are broken attempts of whole requests, by upstream. ``inherited``
+    are crashes of processes of other entries that no longer report them.
     """
 
     crashes: Map[str, tuple[Crash, ...]] = Map()
@@ -96,6 +113,8 @@
     total: float = 0.0
     halve_ms: Millis = 0
     outcomes: Map[str, tuple[Outcome, ...]] = Map()
+    unconfirmed: Map[str, tuple[UnconfirmedCrash, ...]] = Map()
+    inherited: Map[str, tuple[Crash, ...]] = Map()
 
     def share(self, part: str) -> float:
         """Return the share of requests with a part; high while few have arrived."""
@@ -111,7 +130,7 @@
 def crashes_in_sequence(
     crashes: tuple[Crash, ...], begun_ms: Millis | None
 ) -> tuple[Crash, ...]:
-    """Return the crashes that count: none overlaps the one before.
+    """Return the crashes that count: none overlaps another one at the same place.
 
     Those that ended before ``begun_ms``, or shortly after it, do not count.
     """
@@ -119,11 +138,18 @@
     for crash in sorted(crashes, key=lambda crash: crash.ended_ms):
         if begun_ms is not None and crash.ended_ms <= begun_ms + INNOCENT_MS:
             continue
-        if not counted or crash.sent_ms >= counted[-1].ended_ms:
+        if not any(_is_same_fault(crash, earlier) for earlier in counted):
             counted.append(crash)
     return tuple(counted)
 
 
+def _is_same_fault(crash: Crash, earlier: Crash) -> bool:
+    known = crash.place and earlier.place
+    return crash.sent_ms < earlier.ended_ms and not (
+        known and crash.place != earlier.place
+    )
+
+
 def chance_of(crashes: tuple[Crash, ...]) -> float:
     """Return how likely an innocent part is in all of these crashes."""
     return prod(min(REQUESTS_PER_CRASH * crash.share, 1.0) for crash in crashes)
@@ -151,6 +177,15 @@
     return evidence._replace(arrived=arrived, total=evidence.total + 1)
 
 
+def with_unconfirmed(
+    evidence: PartEvidence, upstream_id: str, found: UnconfirmedCrash
+) -> PartEvidence:
+    """Keep a broken attempt until it is known whether its upstream is gone."""
+    kept = (*evidence.unconfirmed.get(upstream_id, ()), found)[-MAX_UNCONFIRMED:]
+    unconfirmed = evidence.unconfirmed.set(upstream_id, kept)
+    return evidence._replace(unconfirmed=unconfirmed)
+
+
 def merged_blame(old: Blame | None, new: Blame) -> Blame:
     """Return what two entries know of the same blame."""
     if old is None:
@@ -168,12 +203,30 @@
     if begun_ms is not None and crash.ended_ms <= begun_ms + INNOCENT_MS:
         return evidence
     kept = (*evidence.crashes.get(part, ()), crash)[-MAX_CRASHES_PER_PART:]
-    crashes = evidence.crashes.set(part, kept)
-    if len(crashes) > MAX_PARTS:
-        crashes = crashes.delete(min(crashes, key=lambda p: crashes[p][-1].ended_ms))
+    crashes = _bounded(evidence.crashes.set(part, kept))
     return evidence._replace(crashes=crashes)
 
 
+def with_inherited(
+    evidence: PartEvidence, crashes: Map[str, tuple[Crash, ...]]
+) -> PartEvidence:
+    """Keep the crashes that a process reported last; it may have ended.
+
+    If it reports them again they do no harm: a crash counts once.
+    """
+    inherited = evidence.inherited
+    for part, found in crashes.items():
+        kept = (*inherited.get(part, ()), *found)[-MAX_CRASHES_PER_PART:]
+        inherited = _bounded(inherited.set(part, kept))
+    return evidence._replace(inherited=inherited)
+
+
+def _bounded(crashes: Map[str, tuple[Crash, ...]]) -> Map[str, tuple[Crash, ...]]:
+    if len(crashes) <= MAX_PARTS:
+        return crashes
+    return crashes.delete(min(crashes, key=lambda part: urgency(crashes[part])))
+
+
 def without_expired(evidence: PartEvidence, now_ms: Millis) -> PartEvidence:
     """Forget crashes, begun answers and arrivals that no longer matter."""
     if now_ms >= evidence.halve_ms:
@@ -185,16 +238,31 @@
         crashes=_newer(
             evidence.crashes, now_ms - CRASH_MEMORY_MS, lambda found: found[-1].ended_ms
         ),
+        inherited=_newer(
+            evidence.inherited,
+            now_ms - CRASH_MEMORY_MS,
+            lambda found: found[-1].ended_ms,
+        ),
         recent=_newer(evidence.recent, now_ms - INNOCENT_MS),
         begun=_newer(evidence.begun, now_ms - BEGUN_MEMORY_MS),
         blames=_newer(
             evidence.blames, now_ms - CRASH_MEMORY_MS, lambda blame: blame.seen_ms
         ),
+        unconfirmed=_newer(
+            evidence.unconfirmed,
+            now_ms - CONFIRM_MS,
+            lambda found: found[-1].crash.ended_ms,
+        ),
     )
 
 
+def urgency(crashes: tuple[Crash, ...]) -> tuple[int, Millis]:
+    """Return the order in which crashes are kept; one alone is most often chance."""
+    return len(crashes), crashes[-1].ended_ms
+
+
 def most_recent(
-    found: Map[str, Any], at_ms: Callable[[Any], Millis] = lambda value: value
+    found: Map[str, Any], at_ms: Callable[[Any], Any] = lambda value: value
 ) -> Map[str, Any]:
     """Return the entries with the latest times, as many as a report may hold."""
     if len(found) <= MAX_REPORTED_PARTS:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -10,6 +10,7 @@
 
 from immutables import Map
 
+from nutmegslip_decisions.direct._part_evidence import with_inherited
 from nutmegslip_decisions.direct._spending import (
     with_silent_peer,
     with_spending_report,
@@ -50,7 +51,8 @@
                 ),
             )
         if report.received_ms + EXPIRE_AFTER_MS < now_ms:
-            state = state._replace(peers=state.peers.delete(peer))
+            parts = with_inherited(state.parts, report.parts.crashes)
+            state = state._replace(peers=state.peers.delete(peer), parts=parts)
     for peer, heard_ms in state.sharing.items():
         if heard_ms + UNSHARE_AFTER_MS < now_ms:
             state = state._replace(sharing=state.sharing.delete(peer))
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -8,6 +8,7 @@
     with_arrived_parts,
     with_begun_answer,
     with_crashed_attempt,
+    with_upstream_gone,
 )
 from nutmegslip_decisions.direct._dispatch import (
     Step,
@@ -130,6 +131,8 @@
     crashed = isinstance(failure, Broken) and failure.closed and not request.begun
     if crashed:
         state = with_crashed_attempt(state, request, now_ms)
+    if isinstance(failure, NotSent):
+        state = with_upstream_gone(state, request.upstream, now_ms)
     sent = not _is_unsent(failure)
     request = request._replace(
         upstream="",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -7,6 +7,8 @@
 
 from nutmegslip_decisions.model import Millis
 
+WHOLE_REQUEST = "request:"  # begins a subject that is no part of a prompt
+
 
 class RequestKind(StrEnum):
     """Whether a request may run more than once."""
@@ -257,3 +259,10 @@
     begun: bool = False
     met_crash: bool = False
     fingerprint: str = ""
+
+    @property
+    def subjects(self) -> tuple[str, ...]:
+        """Return what may be to blame if upstreams crash on it: parts, and itself."""
+        if not self.fingerprint:
+            return self.parts
+        return (*self.parts, f"{WHOLE_REQUEST}{self.fingerprint}")
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -3,6 +3,8 @@
 Times travel as ages, since the clocks of two hosts count from different starts.
 """
 
+from collections.abc import Iterator
+from itertools import zip_longest
 from typing import NamedTuple
 
 import cbor2
@@ -41,7 +43,7 @@
     fields = [
         {
             part: [
-                [now_ms - crash.sent_ms, now_ms - crash.ended_ms, *crash[2:]]
+                [now_ms - crash.sent_ms, now_ms - crash.ended_ms, *crash[2:4]]
                 for crash in found
             ]
             for part, found in parts.crashes.items()
@@ -59,7 +61,11 @@
         upstream_id: [limit.born_ms, limit.per_s, now_ms - limit.named_ms]
         for upstream_id, limit in report.limits.items()
     }
-    return cbor2.dumps([*encoded, fields, spending, limits])
+    # Apart from the crashes, whose fields entries of an earlier build count.
+    places = {
+        part: [crash.place for crash in found] for part, found in parts.crashes.items()
+    }
+    return cbor2.dumps([*encoded, fields, spending, limits, places])
 
 
 def _encode_spending(spending: SpendingReport, now_ms: Millis) -> list:
@@ -78,7 +84,9 @@
         return Report(
             Map({str(key): int(count) for key, count in in_flight.items()}),
             tuple(str(peer) for peer in peers),
-            _decode_parts(*more[1], now_ms) if more[1:] else PartReport(),
+            _decode_parts(*more[1], more[4] if more[4:] else {}, now_ms)
+            if more[1:]
+            else PartReport(),
             Standing(bool(leads), bool(may_lead), int(fence)),
             _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
             _decode_limits(more[3], now_ms) if more[3:] else Map(),
@@ -96,15 +104,17 @@
 
 
 def _decode_parts(
-    crashes: dict, begun: dict, in_flight: list, blames: dict, now_ms: Millis
+    crashes: dict,
+    begun: dict,
+    in_flight: list,
+    blames: dict,
+    places: dict,
+    now_ms: Millis,
 ) -> PartReport:
     return PartReport(
         Map(
             {
-                str(part): tuple(
-                    Crash(now_ms - int(sent), now_ms - int(ended), *map(float, shares))
-                    for sent, ended, *shares in found
-                )
+                str(part): tuple(_decode_crashes(found, places.get(part, []), now_ms))
                 for part, found in crashes.items()
             }
         ),
@@ -119,6 +129,12 @@
     )
 
 
+def _decode_crashes(found: list, places: list, now_ms: Millis) -> Iterator[Crash]:
+    for (sent, ended, *shares), place in zip_longest(found, places, fillvalue=0):
+        crash = Crash(now_ms - int(sent), now_ms - int(ended), *map(float, shares))
+        yield crash._replace(place=int(place))
+
+
 def _decode_spending(
     process: int, is_complete: bool, retries: dict, ended: dict, now_ms: Millis
 ) -> SpendingReport:
--- a/tests/crash_requests_world.py
+++ b/tests/crash_requests_world.py
@@ -110,12 +110,15 @@
                 self._restart(self.random.randrange(len(self.entries)))
 
     def late_sends(self) -> int:
-        """Return the most sends of one bad request that the bound counts."""
+        """Return the most sends of one bad request that the bound counts.
+
+        It leaves out those of an entry that has started in the time before.
+        """
         return max(
             (
                 sum(
                     sent_ms > crashes[CRASHES_UNTIL_BOUND - 1] + STABLE_MS
-                    for sent_ms in self.sends_ms[name]
+                    for sent_ms in self.sends_ms.get(name, ())
                 )
                 for name, crashes in self.crashes_ms.items()
                 if len(crashes) >= CRASHES_UNTIL_BOUND
@@ -134,6 +137,7 @@
         world = World(*up, options=options)
         world.now_ms = self.now_ms
         world.incarnation = self.random.random()
+        world.started_ms = 0 if self.now_ms == START_MS else self.now_ms
         return world
 
     def _restart(self, number: int) -> None:
@@ -193,7 +197,8 @@
         crash_ms = None
         if name.startswith(BAD):
             crash_ms = self.now_ms + self.random.randint(*self.load.crash_ms)
-            self.sends_ms.setdefault(name, []).append(self.now_ms)
+            if self.entries[number].started_ms + STABLE_MS <= self.now_ms:
+                self.sends_ms.setdefault(name, []).append(self.now_ms)
         else:
             self.sound_sent += 1
         breaks = self.random.random() < self.load.broken_share
@@ -210,9 +215,10 @@
         for attempt in list(self.attempts):
             if attempt not in self.attempts:
                 continue
-            if attempt.crash_ms is not None and attempt.crash_ms <= self.now_ms:
-                self.crashes_ms.setdefault(attempt.name, []).append(self.now_ms)
-                self._crash(attempt.upstream.id)
+            if attempt.crash_ms is not None:
+                if attempt.crash_ms <= self.now_ms:
+                    self.crashes_ms.setdefault(attempt.name, []).append(self.now_ms)
+                    self._crash(attempt.upstream.id)
             elif attempt.sent_ms + ANSWER_MS <= self.now_ms:
                 self._answer(attempt)
 
--- a/tests/test_direct_crash_requests.py
+++ b/tests/test_direct_crash_requests.py
@@ -6,7 +6,31 @@
 
 import unittest
 
+import cbor2
+from immutables import Map
+
+from nutmegslip_decisions.direct import (
+    AttemptFailed,
+    Broken,
+    Crash,
+    NotSent,
+    PartReport,
+    PeerReported,
+    RefusalKind,
+    Refuse,
+    UpstreamPublished,
+    UpstreamRemoved,
+)
+from nutmegslip_entry.direct._reports import (
+    Report,
+    ReportError,
+    decode_report,
+    encode_report,
+)
 from tests.crash_requests_world import MAX_LATE_SENDS, Fleet, Load
+from tests.direct_world import World, upstream
+
+CLOSED = Broken("reset", closed=True)
 
 SEEDS = (1, 2, 3, 4)
 
@@ -42,7 +66,6 @@
         self._play(Load(sound_per_s=2.0, bad_per_s=0.2), entries=12, seeds=(1, 2))
 
     def test_while_entries_restart(self):
-        # The bound excuses entries that have just started, so this one is stricter.
         self._play(Load(restarts_per_s=0.1))
 
 
@@ -66,5 +89,101 @@
                     self.assertEqual(fleet.false_refusals, [])
 
 
+class EvidenceTests(unittest.TestCase):
+    """A broken attempt counts once its upstream is known to be gone."""
+
+    def setUp(self):
+        self.upstreams = [upstream(f"u{n}", slots=6) for n in range(4)]
+        self.world = World(*self.upstreams)
+
+    def _break(self):
+        """Send a push and break its attempt; return its upstream's id."""
+        effects = self.world.arrive("/pushes/1", fingerprint="bad")
+        self.world.now_ms += 50
+        ticket = self.world.tickets
+        self.world.take(AttemptFailed(self.world.now_ms, ticket, CLOSED))
+        return effects[0].upstream.id
+
+    def _counts(self):
+        return list(self.world.state.parts.counts.values())
+
+    def test_what_shows_that_an_upstream_is_gone(self):
+        def refused(world, upstream_id):
+            ticket = next(
+                t for t, r in world.state.requests.items() if r.upstream == upstream_id
+            )
+            world.take(AttemptFailed(world.now_ms, ticket, NotSent("refused")))
+
+        def removed(world, upstream_id):
+            world.take(UpstreamRemoved(world.now_ms, upstream_id))
+
+        def reborn(world, upstream_id):
+            again = upstream(upstream_id, slots=6, born_ms=7)
+            world.take(UpstreamPublished(world.now_ms, again))
+
+        def listed_again(world, upstream_id):
+            world.take(UpstreamPublished(world.now_ms, upstream(upstream_id, slots=6)))
+
+        for shown, counts in (
+            (refused, [1]),
+            (removed, [1]),
+            (reborn, [1]),
+            (listed_again, []),
+        ):
+            with self.subTest(shown.__name__):
+                self.world = World(*(upstream(f"u{n}", slots=6) for n in range(4)))
+                for number in range(20):
+                    self.world.arrive("/pushes/1", fingerprint=f"other{number}")
+                shown(self.world, self._break())
+                self.assertEqual(self._counts(), counts)
+
+    def test_it_is_not_taken_for_a_crash_long_after(self):
+        world = self.world
+        upstream_id = self._break()
+        world.now_ms += 5_001
+        world.take(UpstreamRemoved(world.now_ms, upstream_id))
+        self.assertEqual(self._counts(), [])
+
+    def test_the_fourth_time_it_is_refused_as_not_run(self):
+        world = self.world
+        for number in range(12):
+            world.arrive("/lookups/1", fingerprint=f"sound{number}")
+        for _ in range(3):
+            world.take(UpstreamRemoved(world.now_ms, self._break()))
+        (effect,) = world.arrive("/pushes/1", fingerprint="bad")
+        self.assertIsInstance(effect, Refuse)
+        self.assertEqual(effect.kind, RefusalKind.CRASHING_REQUEST)
+        self.assertFalse(effect.ran)
+        self.assertGreater(effect.retry_after_ms, 5_000)
+
+    def test_crashes_of_entries_that_have_ended_are_not_forgotten(self):
+        world = World(*self.upstreams)
+        crashes = tuple(Crash(n, n + 1, 0.0, 0.0, n) for n in (1, 2))
+        report = PartReport(Map({"request:1": crashes}))
+        world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), report))
+        world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), PartReport()))
+        self.assertEqual(dict(world.state.parts.counts), {"request:1": 2})
+        world.take(PeerReported(world.now_ms, "10.0.0.2", Map(), report))
+        self.assertEqual(dict(world.state.parts.counts), {"request:1": 2})
+
+
+class ReportTests(unittest.TestCase):
+    def test_places_travel_apart_and_an_earlier_build_has_none(self):
+        crashes = (Crash(1, 2, 0.5, 0.0, 7), Crash(3, 4, 0.5, 0.0, 2**64 - 1))
+        parts = PartReport(Map({"request:1": crashes}))
+        data = encode_report(Report(Map(), (), parts), 10)
+        self.assertEqual(decode_report(data, 10).parts, parts)
+        earlier = decode_report(cbor2.dumps(cbor2.loads(data)[:6]), 10).parts
+        places = [crash.place for crash in earlier.crashes["request:1"]]
+        self.assertEqual(places, [0, 0])
+
+    def test_malformed_places_raise_one_error(self):
+        parts = PartReport(Map({"request:1": (Crash(1, 2),)}))
+        *head, _ = cbor2.loads(encode_report(Report(Map(), (), parts), 10))
+        for places in (7, {"request:1": 3}, {"request:1": ["x"]}, [1, 2]):
+            with self.subTest(places=places), self.assertRaises(ReportError):
+                decode_report(cbor2.dumps([*head, places]), 10)
+
+
 if __name__ == "__main__":
     unittest.main()
