Let the soak name limits, and send a request that ends runners

Runners name a limit for 5 to 9 s, halve it and end it; in a third of the seeds one lookup in a hundred ends each runner that runs it, which is unlisted 0.8 s and replaced 1.5 s later. A sound request that is refused as one that crashes upstreams is a violation. Drawn apart from the other steps, so that earlier seeds keep their schedules.

--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -38,7 +38,8 @@
     """One request that arrived.
 
     ``own`` is whether it was meant for this runner. ``leaving`` is whether the answer
-    says that the runner leaves, ``pause_ms`` the pause that it asks for, 0 for none.
+    says that the runner leaves, ``pause_ms`` the pause that it asks for, 0 for none,
+    ``limit_per_s`` the limit that it names, None for none.
     """
 
     at_ms: int
@@ -46,6 +47,7 @@
     own: bool
     leaving: bool = False
     pause_ms: int = 0
+    limit_per_s: float | None = None
 
 
 class Runner:
@@ -53,7 +55,9 @@
 
     ``leaving`` is whether it says in each answer that it leaves. ``pause`` is the
     value of Retry-After that ``Fault.PAUSE`` sends. A request whose prompt has
-    ``crashing_part``, not as its last part, crashes the runner as it begins to answer.
+    ``crashing_part``, not as its last part, crashes the runner as it begins to answer;
+    one whose target is ``ending_target`` ends it, which ``on_end`` is told.
+    ``limit_per_s`` is the limit that it names in its answers.
     ``runs`` counts runs by request id; ``requests`` lists every request that ran, and
     ``disconnected`` the ids of those whose caller disconnected. ``arrivals`` lists
     every request that arrived.
@@ -67,6 +71,10 @@
         self.arrivals: list[Arrival] = []
         self.crashing_part = ""
         self.crashes_ms: list[int] = []
+        self.ending_target = b""
+        self.ends_ms: list[int] = []
+        self.on_end: Callable[[], None] = lambda: None
+        self.limit_per_s: float | None = None
         self._down_until_ms = 0
         self._sockets: set[socket.socket] = set()
         self._copies: dict[socket.socket, bytes] = {}
@@ -125,6 +133,15 @@
             reset_on_close(sock)
             sock.close()
 
+    def _end(self) -> None:
+        """End for good: reset every connection and refuse new ones."""
+        self.ends_ms.append(boottime_ms())
+        self.close()
+        for sock in tuple(self._sockets):
+            reset_on_close(sock)
+            sock.close()
+        self.on_end()
+
     def _crashes_on(self, request: HttpRequest) -> bool:
         value = (request.header(PROMPT_PARTS) or b"").decode()
         shared = [part.partition(":")[0] for part in value.split(",")[:-1]]
@@ -138,25 +155,35 @@
         if self.fault is Fault.PAUSE and own:
             pause_ms = int(float(self.pause) * 1_000)
         self.arrivals.append(
-            Arrival(boottime_ms(), request_id, own, self.leaving, pause_ms)
+            Arrival(
+                boottime_ms(),
+                request_id,
+                own,
+                self.leaving,
+                pause_ms,
+                self.limit_per_s,
+            )
         )
         if pause_ms:
             headers = [NOT_EXECUTED, (b"Retry-After", self.pause)]
-            sock.sendall(encode_head(503, headers + self._leaving_headers(), length=0))
+            sock.sendall(encode_head(503, headers + self._notice_headers(), length=0))
         elif self.fault is Fault.SHED:
-            headers = [NOT_EXECUTED, *self._leaving_headers()]
+            headers = [NOT_EXECUTED, *self._notice_headers()]
             sock.sendall(encode_head(503, headers, length=0))
         elif self.fault is Fault.STALLED_SHED and own:
             sock.sendall(encode_head(503, [NOT_EXECUTED], length=9))
         elif self.fault is Fault.ENDLESS_SHED and own:
             self._send_without_end(sock, request)
         elif self.fault is Fault.MISDIRECTED or not own:
-            sock.sendall(encode_head(421, self._leaving_headers(), length=0))
+            sock.sendall(encode_head(421, self._notice_headers(), length=0))
         else:
             self._run(sock, request)
 
-    def _leaving_headers(self) -> list[tuple[bytes, bytes]]:
-        return [LEAVING] if self.leaving else []
+    def _notice_headers(self) -> list[tuple[bytes, bytes]]:
+        leaving = [LEAVING] if self.leaving else []
+        if self.limit_per_s is None:
+            return leaving
+        return [*leaving, (b"Server-Limit", str(self.limit_per_s).encode())]
 
     def _run(self, sock: socket.socket, request: HttpRequest) -> None:
         request_id = (request.header(REQUEST_ID.lower()) or b"").decode()
@@ -166,10 +193,14 @@
             gevent.sleep(self.pause_s)
             self._crash()
             raise OSError("connection reset by a crash")
+        if self.ending_target and request.target == self.ending_target:
+            gevent.sleep(self.pause_s)
+            self._end()
+            raise OSError("connection reset by the end of the runner")
         headers = [
             (REQUEST_ID, request_id.encode()),
             (RESPONSE_SEAL, f"{self.name}.{request_id}".encode()),
-            *self._leaving_headers(),
+            *self._notice_headers(),
         ]
         match self.fault:
             case Fault.SILENT:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -9,7 +9,7 @@
 from bench.entry_process import EntryProcess, exchange
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import ClientConnection, NotConnected
-from soak._guarantees import ReceivedResponse, SentRequest
+from soak._guarantees import BAD_BODY, BAD_TARGET, ReceivedResponse, SentRequest
 from soak._prompts import Prompts
 
 KINDS = (("lookup", "/lookups/"), ("push", "/pushes/"), ("stream", "/verses/"))
@@ -27,6 +27,7 @@
         self._entries = entries
         self._seed = seed
         self._prompt_rng = Random(f"{seed}-parts")
+        self._bad_request_rng = Random(f"{seed}-bad-requests")
         self._request_numbers = count(1)
         self._sending = True
         self.sent: dict[str, SentRequest] = {}
@@ -49,6 +50,8 @@
         request_id = f"q{next(self._request_numbers)}"
         target = f"{prefix}{rng.randrange(9)}?of={request_id}".encode()
         body = rng.randbytes(rng.choice((0, 20, 3_000)))
+        if self._prompts.is_bad_request(self._bad_request_rng):
+            kind, target, body = "lookup", BAD_TARGET, BAD_BODY
         parts = self._prompts.draw_parts(self._prompt_rng) if kind == "stream" else ()
         sent = self.sent[request_id] = SentRequest(
             request_id, kind, target, body, entry, boottime_ms(), parts
--- a/soak/_guarantees.py
+++ b/soak/_guarantees.py
@@ -11,6 +11,7 @@
 MAX_ATTEMPTS = 2  # of every published route, but pushes run at most once
 EVENTS_PER_STREAM = 6
 RUNNER_ERROR_BODY = b"bad"  # the body of a fake runner's own 500 response
+BAD_TARGET, BAD_BODY = b"/lookups/bad", b"bad"  # a request that ends runners
 ACCOUNT_HEADER, KEY_HEADER = b"x-nutmegslip-tenant", b"x-nutmegslip-key"
 
 
@@ -81,21 +82,29 @@
     ):
         yield f"stream events out of order or from another run: {response.body[-60:]!r}"
     if response.status not in (0, 200) and not (
-        response.body in (b"", RUNNER_ERROR_BODY) or _refuses_part(response)
+        response.body in (b"", RUNNER_ERROR_BODY) or _refuses_blamed(response)
     ):
         yield f"a failure with an unexpected body: {response.body[:60]!r}"
     if response.body == RUNNER_ERROR_BODY and response.status != 500:
         yield f"a runner's 500 response passed on under status {response.status}"
 
 
-def _refuses_part(response: ReceivedResponse) -> bool:
-    """Return whether the body is the problem document for a blamed part."""
-    start = f'{{"title":"{RefusalKind.CRASHING_PART}","status":{response.status},'
+def _refuses_blamed(response: ReceivedResponse) -> bool:
+    """Return whether the body is the problem document for what is blamed."""
+    sent = response.sent
+    kinds = (
+        (RefusalKind.CRASHING_PART, len(sent.parts) > 0),
+        (RefusalKind.CRASHING_REQUEST, sent.target == BAD_TARGET),
+    )
     end = '"ran":"no"}' if response.status == 503 else '"ran":"unknown"}'
+    starts = [
+        f'{{"title":"{kind}","status":{response.status},'.encode()
+        for kind, may_be_blamed in kinds
+        if may_be_blamed
+    ]
     return (
         response.status in (502, 503, 504)
-        and len(response.sent.parts) > 0
-        and response.body.startswith(start.encode())
+        and response.body.startswith(tuple(starts))
         and response.body.endswith(end.encode())
     )
 
--- a/soak/_prompts.py
+++ b/soak/_prompts.py
@@ -4,11 +4,13 @@
 from random import Random
 from typing import NamedTuple
 
-from soak._guarantees import SentRequest
+from soak._guarantees import BAD_TARGET, SentRequest
 from soak._notices import History, was_disturbed
 
 BAD_PART = "bad"
 ACCOUNT_PARTS, SUBJECT_PARTS = 3, 20
+BAD_REQUEST_SEEDS, BAD_REQUEST_SHARE = 1 / 3, 0.01
+ENDS_UNTIL_BOUND = 3
 BAD_SHARE = 0.15  # of the streams, in the seeds that have any
 STABLE_MS = 3_000
 CRASHES_UNTIL_BOUND = 5
@@ -18,14 +20,20 @@
 
 
 class Prompts(NamedTuple):
-    """The prompts of a seed; half of the seeds have bad ones."""
+    """The prompts of a seed; half of the seeds have bad ones, a third a bad request."""
 
     has_bad: bool
+    has_bad_request: bool = False
 
     @classmethod
     def of_seed(cls, seed: int) -> "Prompts":
         """Return the prompts of a seed; drawn apart from its schedule."""
-        return cls(Random(f"{seed}-prompts").random() < 0.5)
+        bad_request = Random(f"{seed}-requests").random() < BAD_REQUEST_SEEDS
+        return cls(Random(f"{seed}-prompts").random() < 0.5, bad_request)
+
+    def is_bad_request(self, rng: Random) -> bool:
+        """Return whether a caller sends the request that ends runners."""
+        return self.has_bad_request and rng.random() < BAD_REQUEST_SHARE
 
     def draw_parts(self, rng: Random) -> tuple[str, ...]:
         """Return the shared parts of one prompt."""
@@ -45,16 +53,34 @@
     yield from _sound_not_served(history, crashes_ms[0], last_ms + 2 * STABLE_MS)
 
 
+def find_request_violations(history: History, ends_ms: list[int]) -> Iterator[str]:
+    """Yield a request that was sent on although it had ended three runners."""
+    bad = {name for name, sent in history.sent.items() if sent.target == BAD_TARGET}
+    late = _late(history, sorted(ends_ms), ENDS_UNTIL_BOUND, bad)
+    if len(late) > MAX_LATE_REQUESTS:
+        yield f"{late[0]}: one of {len(late)} requests that end runners"
+
+
 def _sent_after_bound(history: History, crashes_ms: list[int]) -> Iterator[str]:
-    if len(crashes_ms) < CRASHES_UNTIL_BOUND:
-        return
-    bound_ms = crashes_ms[CRASHES_UNTIL_BOUND - 1] + STABLE_MS
-    late = [
+    bad = {name for name, sent in history.sent.items() if BAD_PART in sent.parts}
+    late = _late(history, crashes_ms, CRASHES_UNTIL_BOUND, bad)
+    if len(late) > MAX_LATE_REQUESTS:
+        yield f"{late[0]}: one of {len(late)} requests with a part that crashes runners"
+
+
+def _late(
+    history: History, crashes_ms: list[int], until_bound: int, bad: set[str]
+) -> list[str]:
+    """Return the bad requests that arrived after the bound, from calm entries."""
+    if len(crashes_ms) < until_bound:
+        return []
+    bound_ms = crashes_ms[until_bound - 1] + STABLE_MS
+    return [
         arrival.request_id
         for _, arrivals in history.arrivals
         for arrival in arrivals
         if arrival.at_ms > bound_ms
-        and BAD_PART in _parts_of(history, arrival.request_id)
+        and arrival.request_id in bad
         and not was_disturbed(
             history,
             {history.sent[arrival.request_id].entry},
@@ -62,8 +88,6 @@
             arrival.at_ms,
         )
     ]
-    if len(late) > MAX_LATE_REQUESTS:
-        yield f"{late[0]}: one of {len(late)} requests with a part that crashes runners"
 
 
 def _sound_not_served(history: History, first_ms: int, from_ms: int) -> Iterator[str]:
@@ -82,8 +106,3 @@
 
 def _sound_streams(history: History) -> Iterator[SentRequest]:
     return (s for s in history.sent.values() if s.parts and BAD_PART not in s.parts)
-
-
-def _parts_of(history: History, request_id: str) -> tuple[str, ...]:
-    sent = history.sent.get(request_id)
-    return sent.parts if sent else ()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,15 +11,22 @@
 import gevent
 
 from soak._callers import Callers
-from soak._guarantees import find_violations
+from soak._guarantees import BAD_TARGET, find_violations
+from soak._limits import find_excess_over_limits
 from soak._notices import History, find_ignored_notices
-from soak._prompts import BAD_PART, Prompts, find_prompt_violations
+from soak._prompts import (
+    BAD_PART,
+    Prompts,
+    find_prompt_violations,
+    find_request_violations,
+)
 from soak._retries import find_excess_retries
 from soak._schedule import (
     ENTRIES,
     Step,
     plan,
     plan_endless,
+    plan_limits,
     plan_notices,
     plan_restarts,
 )
@@ -30,6 +37,7 @@
 STEPS, DURATION_S = 32, 8.0
 NOTICE_INTERVAL = 4  # steps for each further one that gives a notice
 ENDLESS_INTERVAL = 8  # steps for each further one with bytes without end
+LIMIT_INTERVAL = 12  # steps for each further one with limits that runners name
 CALLERS = 12
 CHECK_INTERVAL_S = 1.0
 SETTLE_S = 5.0  # bound for applying what was published during a store outage
@@ -53,6 +61,7 @@
         *plan_notices(seed, steps // NOTICE_INTERVAL, DURATION_S),
         *plan_endless(seed, steps // ENDLESS_INTERVAL, DURATION_S),
         *plan_restarts(seed, entries, DURATION_S),
+        *plan_limits(seed, steps // LIMIT_INTERVAL),
     )
     return run_steps(seed, planned, entries=entries)
 
@@ -79,6 +88,8 @@
     prompts = Prompts.of_seed(seed)
     if prompts.has_bad:
         site.crash_on(BAD_PART)
+    if prompts.has_bad_request:
+        site.end_on(BAD_TARGET)
     callers = Callers(site.entries, seed, prompts)
     caller_greenlets = callers.start(CALLERS)
     step_greenlets = [
@@ -118,8 +129,10 @@
     )
     found = find_violations(callers.sent, callers.received, runs, runner_requests)
     prompts = find_prompt_violations(history, site.crashes_ms())
-    retries = find_excess_retries(history)
-    return dict.fromkeys((*found, *find_ignored_notices(history), *prompts, *retries))
+    requests = find_request_violations(history, site.ends_ms())
+    shared = (*find_excess_retries(history), *find_excess_over_limits(history))
+    notices = find_ignored_notices(history)
+    return dict.fromkeys((*found, *notices, *prompts, *requests, *shared))
 
 
 def _failed_final_requests(callers: Callers, site: SoakSite) -> list[str]:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -27,6 +27,7 @@
     ZONE = "zone"  # an availability zone is evacuated, and then restored
     LEAVE = "leave"  # a runner says in its answers that it leaves, then is replaced
     PAUSE = "pause"  # a runner rejects requests and asks for a pause
+    LIMIT = "limit"  # a runner names a limit, then a smaller one, then none
     RESTORE = "restore"  # the store returns from a copy as old as the step is long
 
 
@@ -66,7 +67,7 @@
 _WEIGHTS = {Action.RUNNER: 5, Action.LINK: 3, Action.REPLACE: 2}
 # Drawn apart from the others, so that the schedules of earlier seeds stay the same.
 _NOTICES = (Action.LEAVE, Action.PAUSE, Action.RESTORE)
-_OTHERS = tuple(action for action in Action if action not in _NOTICES)
+_OTHERS = tuple(action for action in Action if action not in (*_NOTICES, Action.LIMIT))
 _ENDLESS_FAULTS = (*ENDLESS, Fault.STALLED_SHED)
 _SIGNALS = (Action.STOP, Action.KILL, Action.RELOAD, Action.FREEZE)
 _LATER_FAULTS = (
@@ -138,6 +139,21 @@
     )
 
 
+def plan_limits(seed: int, steps: int) -> tuple[Step, ...]:
+    """Return steps in which runners name limits for most of the run."""
+    rng = Random(f"{seed}-limits")
+    return tuple(
+        Step(
+            rng.uniform(0.2, 2.0),
+            Action.LIMIT,
+            rng.randrange(RUNNERS),
+            rng.uniform(5.0, 9.0),
+            str(rng.choice((0.5, 2.0, 8.0, 20.0))),
+        )
+        for _ in range(steps)
+    )
+
+
 def _step(rng: Random, at_s: float) -> Step:
     (action,) = rng.choices(_OTHERS, [_WEIGHTS.get(action, 1) for action in _OTHERS])
     duration_s = rng.uniform(0.2, _MAX_DURATION_S.get(action, 0.2))
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -29,6 +29,7 @@
 LOST_REVISIONS = 60
 RESTORE_S = 0.3  # for which the store is away
 REWRITE_S = 1.0  # until operator and runners have written again
+UNLISTED_S, BACK_S = 0.8, 1.5  # after the end of a runner
 LAPSE_S = 2.6  # with the time above three heartbeats of 1.2 s
 
 
@@ -44,6 +45,7 @@
         self._stopped_runners: list[Runner] = []
         self._disturbances: list[Disturbance] = []
         self._crashing_part = ""
+        self._ending_target = b""
         self.runners = [self._start_runner(number) for number in range(RUNNERS)]
         self._links = [Proxy(runner.address) for runner in self.runners]
         stores = [Proxy(self.store.address) for _ in range(entries)]
@@ -120,6 +122,8 @@
                 runner.fault = Fault.PAUSE
                 gevent.sleep(step.duration_s)
                 runner.fault = Fault.NONE
+            case Action.LIMIT:
+                self._limit(self.runners[step.target], step)
             case Action.RESTORE:
                 self._restore(step.duration_s)
 
@@ -129,6 +133,7 @@
             link.set_state(LinkState.HEALTHY)
         for runner in self.runners:
             runner.fault = Fault.NONE
+            runner.limit_per_s = None
         self.store.down = False
         for entry in self.entries:
             if not entry.is_running:
@@ -155,6 +160,17 @@
         for runner in self.runners:
             runner.crashing_part = part
 
+    def end_on(self, target: bytes) -> None:
+        """Make each runner, also later ones, end on a request; another replaces it."""
+        self._ending_target = target
+        for number, runner in enumerate(self.runners):
+            self._let_end(number, runner)
+
+    def ends_ms(self) -> list[int]:
+        """Return when runners ended on a request."""
+        runners = (*self._stopped_runners, *self.runners)
+        return [at_ms for runner in runners for at_ms in runner.ends_ms]
+
     def crashes_ms(self) -> list[int]:
         """Return when runners crashed on a part of a prompt."""
         runners = (*self._stopped_runners, *self.runners)
@@ -237,6 +253,25 @@
             if key not in self._written:
                 self.store.history.remove(key)
 
+    def _let_end(self, number: int, runner: Runner) -> None:
+        runner.ending_target = self._ending_target
+        runner.on_end = lambda: gevent.spawn(self._bring_back, number, runner)
+
+    def _bring_back(self, number: int, ended: Runner) -> None:
+        """Remove an ended runner from the list, and replace it some time later."""
+        gevent.sleep(UNLISTED_S)
+        if self.runners[number] is ended:
+            self._remove(f"servers/{ended.name}")
+        gevent.sleep(BACK_S - UNLISTED_S)
+        if self.runners[number] is ended:
+            self._replace(number, Identity.NEW)
+
+    def _limit(self, runner: Runner, step: Step) -> None:
+        first_per_s = float(step.variant)
+        for per_s in (first_per_s, first_per_s / 2, None):
+            runner.limit_per_s = per_s
+            gevent.sleep(step.duration_s / 2 if per_s else 0)
+
     def _register(self, number: int, **fields: object) -> None:
         runner = self.runners[number]
         record = runner.registration(
@@ -256,6 +291,7 @@
         self._links[number].close()
         self.runners[number] = self._start_runner(number, old.name if keeps_id else "")
         self._links[number] = Proxy(self.runners[number].address)
+        self._let_end(number, self.runners[number])
         if not keeps_id:
             self._remove(f"servers/{old.name}")
         self._register(number)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,18 +11,23 @@
 from fakes.runners import Arrival, Fault
 from soak import Action, Step, plan, run, run_steps
 from soak._guarantees import (
+    BAD_TARGET,
     ReceivedResponse,
     SentRequest,
     expected_body,
     find_violations,
 )
+from soak._limits import find_excess_over_limits
 from soak._notices import Disturbance, History, find_ignored_notices
+from soak._prompts import find_request_violations
 from soak._proxy import LinkState, Proxy
 from soak._retries import find_excess_retries
 
 # Seeds that failed once; docs/soak.md tells why.
 REGRESSIONS = (121, 123, 152, 1001)
 SHORT_SEED, SHORT_STEPS = 5, 16
+LIMITS_SEED = 2  # without bad prompts or requests
+ENDING_REQUEST_SEED = 10
 
 
 class SoakTests(unittest.TestCase):
@@ -63,6 +68,22 @@
         outcome = run_steps(SHORT_SEED, (*lost, *killed))
         self.assertEqual(outcome.violations, ())
 
+    def test_limits_that_runners_name_while_entries_restart(self):
+        """Guard against a limit that each entry, or each process, spends anew."""
+        limits = [Step(0.5, Action.LIMIT, target, 8.0, "4.0") for target in (0, 3)]
+        signals = [
+            Step(3.0 + turn, action, turn % 3, 0.3)
+            for turn, action in enumerate((Action.STOP, Action.KILL, Action.FREEZE))
+        ]
+        outcome = run_steps(LIMITS_SEED, (*limits, *signals))
+        self.assertEqual(outcome.violations, ())
+
+    def test_a_request_that_ends_runners(self):
+        """Guard against a request that is sent on although it has ended three."""
+        signals = [Step(2.0 + turn, Action.STOP, turn, 0.3) for turn in range(3)]
+        outcome = run_steps(ENDING_REQUEST_SEED, tuple(signals))
+        self.assertEqual(outcome.violations, ())
+
     def test_a_schedule_follows_its_seed(self):
         self.assertEqual(plan(3, 20, 8.0), plan(3, 20, 8.0))
         self.assertNotEqual(plan(3, 20, 8.0), plan(4, 20, 8.0))
@@ -220,5 +241,42 @@
                 self.assertEqual(len(self._found([asked, *later], disturbances)), count)
 
 
+class SharedLimitTests(unittest.TestCase):
+    """The checks of named limits and of requests that end runners can fail."""
+
+    def _history(self, arrivals, target=b"/lookups/1", disturbances=()):
+        sent = {
+            arrival.request_id: SentRequest(
+                arrival.request_id, "lookup", target, b"", "e", arrival.at_ms
+            )
+            for arrival in arrivals
+        }
+        return History(sent, [], Counter(), [("r", arrivals)], list(disturbances))
+
+    def test_a_runner_that_gets_more_than_its_limit(self):
+        frozen = (Disturbance("e", 5_000, 5_100),)
+        for gap_ms, limit, disturbances, found in (
+            (200, 2.0, (), 1),  # 5 a second
+            (200, 3.0, (), 0),
+            (200, 2.0, frozen, 0),
+        ):
+            with self.subTest(limit=limit, disturbances=disturbances):
+                arrivals = [
+                    Arrival(at_ms, f"q{at_ms}", True, limit_per_s=limit)
+                    for at_ms in range(0, 8_000, gap_ms)
+                ]
+                history = self._history(arrivals, disturbances=disturbances)
+                self.assertEqual(len([*find_excess_over_limits(history)]), found)
+
+    def test_a_request_that_is_sent_after_it_has_ended_three_runners(self):
+        for late, found in ((3, 0), (4, 1)):
+            with self.subTest(late=late):
+                arrivals = [Arrival(n, f"q{n}", True) for n in (10, 20, 30)]
+                arrivals += [Arrival(4_000 + n, f"late{n}", True) for n in range(late)]
+                history = self._history(arrivals, target=BAD_TARGET)
+                violations = [*find_request_violations(history, [10, 20, 30])]
+                self.assertEqual(len(violations), found)
+
+
 if __name__ == "__main__":
     unittest.main()
