Fuzz named limits, and let the soak's schedules of shared limits fail

The fuzz names, changes and ends limits at single entries and bounds what each sends. The two schedules of the soak passed with the limits ignored and with whole requests not counted: their signals excused every window in which they could fail.

--- a/soak/_prompts.py
+++ b/soak/_prompts.py
@@ -9,7 +9,7 @@
 
 BAD_PART = "bad"
 ACCOUNT_PARTS, SUBJECT_PARTS = 3, 20
-BAD_REQUEST_SEEDS, BAD_REQUEST_SHARE = 1 / 3, 0.01
+BAD_REQUEST_SEEDS, BAD_REQUEST_SHARE = 1 / 3, 0.03
 ENDS_UNTIL_BOUND = 3
 BAD_SHARE = 0.15  # of the streams, in the seeds that have any
 STABLE_MS = 3_000
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -32,6 +32,7 @@
     StoreRestored,
     Tick,
     UpstreamLeaving,
+    UpstreamLimited,
     UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
@@ -93,6 +94,8 @@
         self.leaving = set()
         self.paused = defaultdict(int)
         self.withheld = {}
+        self.limited_sends = defaultdict(list)  # by entry and incarnation
+        self.told = {}  # limit, time and sends before, by entry and incarnation
 
     def _take(self, number, event):
         for effect in self.worlds[number].take(event):
@@ -109,6 +112,7 @@
                 incarnation = (number, to.id, to.born_ms)
                 assert incarnation not in self.leaving, f"{to.id} had said it leaves"
                 assert self.paused[incarnation] <= self.now_ms, f"{to.id} is paused"
+                self.limited_sends[incarnation].append(self.now_ms)
                 assert self.withheld.get(incarnation, 0) <= self.now_ms, (
                     f"{to.id} was removed before the store was restored"
                 )
@@ -234,6 +238,26 @@
             self.paused[incarnation] = until_ms
             self._take(number, UpstreamPaused(self.now_ms, known, pause_ms))
 
+    @rule(
+        number=st.integers(0, ENTRIES - 1),
+        name=st.sampled_from(sorted(i.id for i in UPSTREAMS)),
+        per_s=st.sampled_from((None, 0.0, 0.5, 2.0, 30.0)),
+        is_late=st.booleans(),
+    )
+    def name_limit(self, number, name, per_s, is_late):
+        """An answer names the limit of its upstream, or none."""
+        known = self.worlds[number].state.upstreams.get(name)
+        if known is None:
+            return
+        sent_ms = None if is_late else self.now_ms
+        self._take(number, UpstreamLimited(self.now_ms, known, per_s, sent_ms))
+        incarnation = (number, name, known.born_ms)
+        if per_s is not None:
+            before = len(self.limited_sends[incarnation])
+            self.told[incarnation] = (per_s, self.now_ms, before)
+        elif not is_late:
+            self.told.pop(incarnation, None)
+
     @rule(
         data=st.data(),
         zones=st.sampled_from((frozenset(), frozenset({"a"}))),
@@ -311,6 +335,15 @@
             recent = sum(at > self.now_ms - 1_000 for at in sent)
             assert recent <= COLD_BOUND, f"{recent} sends in a second"
 
+    @invariant()
+    def named_limits_hold(self):
+        """An entry sends its share since it was told, and one request at once."""
+        for incarnation, (per_s, told_ms, before) in self.told.items():
+            sent = len(self.limited_sends[incarnation]) - before
+            share = max(per_s / ENTRIES, 0.02)
+            allowed = 1 + share * (self.now_ms - told_ms) / 1_000
+            assert sent <= allowed, f"{sent} sends, {allowed} allowed"
+
     @invariant()
     def budget_holds(self):
         for service, retried_ms in self.retried_ms.items():
