Keep the limit of an upstream whose registration lapses

What can happen: while the store is away a registration lapses, and is back seconds later, of the same incarnation. Its limit was forgotten with it, so each entry sent there without a limit until the next answer. Limits of unlisted upstreams are kept for 30 s since they were named last, as ended ones are.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_named_limits.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_named_limits.py
@@ -15,7 +15,7 @@
 
 REPORT_MS = 3_000  # long enough for several reports to be lost
 MAX_REPORTED_LIMITS = 16  # those named last; keeps a report within one datagram
-REMEMBER_END_MS = 30_000  # until late answers and reports can no longer bring it back
+REMEMBER_ENDED_MS = 30_000  # until late answers and reports can no longer bring it back
 
 
 def with_named_limit(
@@ -76,12 +76,16 @@
 
 
 def without_expired_limits(state: State, now_ms: Millis) -> State:
-    """Forget limits of removed incarnations, and ends of limits after a while."""
+    """Forget what other incarnations have said, and after a while what has ended.
+
+    The registration of an upstream may lapse and come back.
+    """
     limits = state.named_limits
     for upstream_id, limit in state.named_limits.items():
         listed = state.upstreams.get(upstream_id)
-        ended = limit.per_s is None and limit.named_ms + REMEMBER_END_MS <= now_ms
-        if ended or listed is None or listed.born_ms != limit.born_ms:
+        ended = limit.per_s is None or listed is None
+        replaced = listed is not None and listed.born_ms != limit.born_ms
+        if replaced or (ended and limit.named_ms + REMEMBER_ENDED_MS <= now_ms):
             limits = limits.delete(upstream_id)
     if limits is state.named_limits:
         return state
--- a/tests/test_direct_named_limits.py
+++ b/tests/test_direct_named_limits.py
@@ -12,8 +12,10 @@
     PeerReported,
     Refuse,
     Send,
+    Tick,
     UpstreamLimited,
     UpstreamPublished,
+    UpstreamRemoved,
     limit_report,
 )
 from nutmegslip_decisions.direct._named_limits import MAX_REPORTED_LIMITS
@@ -115,6 +117,19 @@
                 world.take(UpstreamLimited(now_ms, U1, None, sent_ms))
                 self.assertEqual(world.state.limit_of(U1) is not None, is_limited)
 
+    def test_a_limit_outlives_a_lapse_of_the_registration(self):
+        world = World(U1, U2)
+        world.take(UpstreamLimited(world.now_ms, U1, 1.0, world.now_ms))
+        world.take(UpstreamRemoved(world.now_ms, "u1"))
+        world.now_ms += 5_000
+        world.take(Tick(world.now_ms))
+        world.take(UpstreamPublished(world.now_ms, U1))
+        self.assertIsNotNone(world.state.limit_of(U1))
+        world.take(UpstreamRemoved(world.now_ms, "u1"))
+        world.now_ms += 30_000
+        world.take(Tick(world.now_ms))
+        self.assertEqual(world.state.named_limits, Map())
+
     def test_another_incarnation_has_named_nothing(self):
         world = World(U1)
         world.take(UpstreamLimited(world.now_ms, U1, 1.0, world.now_ms))
