Determine the sharers of named limits once for a choice

The list of the entries was sorted for each upstream that names a limit: 14.1 ms a request with 330 entries and limits at 50 of 72 upstreams, 2.75 ms with 36, 1.2 ms without limits. What is decided is the same.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -23,7 +23,7 @@
 from nutmegslip_decisions.direct._upstream_shares import (
     cold_limit_per_entry,
     has_credit,
-    share_per_s,
+    limit_shares,
 )
 from nutmegslip_decisions.model import Millis
 
@@ -111,6 +111,7 @@
     taken: Counter[str] = Counter()
     candidates: list[Candidate] = []
     pauses: list[Millis] = []
+    shares = limit_shares(state, now_ms)
     limited = False
     for upstream, stats in _usable_upstreams(state, service, now_ms):
         if stats.paused_until_ms > now_ms:
@@ -119,12 +120,12 @@
         in_flight = stats.in_flight + state.peer_in_flight.get(upstream.id, 0)
         slots[upstream.group] += upstream.slots
         taken[upstream.group] += in_flight
-        share = share_per_s(state, upstream, now_ms)
+        share = shares.get(upstream.id)
         limited = limited or share is not None
         busy_slots[upstream.group] += _busy_slots(state, upstream, share, load.hold_ms)
         if cold_limit is not None and stats.sent.count(now_ms) >= cold_limit:
             continue
-        if has_credit(state, upstream, stats, now_ms):
+        if has_credit(state, stats, share, now_ms):
             candidates.append(Candidate(upstream, in_flight, share is not None))
     open_slots = {
         group: count * load.open_shares.get(group, 1.0)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_upstream_shares.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_upstream_shares.py
@@ -38,28 +38,45 @@
     return max(1, int(bound / state.sharing_count()))
 
 
-def share_per_s(state: State, upstream: Upstream, now_ms: Millis) -> float | None:
-    """Return this entry's share of the rate that an upstream names.
+def limit_shares(state: State, now_ms: Millis) -> dict[str, float]:
+    """Return this entry's share of the rate of each upstream that names one.
 
-    None if it names none, 0 if only other entries have a share.
+    It is 0 if only other entries have a share.
     """
-    limit = state.limit_of(upstream)
-    if limit is None:
-        return None
-    if _is_unconfirmed(limit, now_ms):
+    if not state.named_limits:
+        return {}
+    entries = tuple(sorted({state.options.address, *state.sharing}))
+    found = {
+        upstream_id: state.limit_of(state.upstreams[upstream_id])
+        for upstream_id in state.named_limits
+        if upstream_id in state.upstreams
+    }
+    return {
+        upstream_id: _share_per_s(state, upstream_id, limit, entries, now_ms)
+        for upstream_id, limit in found.items()
+        if limit is not None
+    }
+
+
+def _share_per_s(
+    state: State,
+    upstream_id: str,
+    limit: NamedLimit,
+    entries: tuple[str, ...],
+    now_ms: Millis,
+) -> float:
+    if limit.named_ms + UNCONFIRMED_MS <= now_ms:
         return max(limit.per_s / state.sharing_count(), MIN_SHARE_PER_S)
-    address = state.options.address
-    if address not in _sharers(upstream.id, tuple(sorted({address, *state.sharing}))):
+    if state.options.address not in _sharers(upstream_id, entries):
         return 0.0
     sharers = min(MAX_SHARERS, state.sharing_count())
     return max(limit.per_s / sharers, MIN_SHARE_PER_S)
 
 
 def has_credit(
-    state: State, upstream: Upstream, stats: UpstreamStats, now_ms: Millis
+    state: State, stats: UpstreamStats, share: float | None, now_ms: Millis
 ) -> bool:
-    """Return whether the named rate of an upstream allows this entry a request now."""
-    share = share_per_s(state, upstream, now_ms)
+    """Return whether a share of a named rate allows a request now; None is no limit."""
     if share is None:
         return True
     return share > 0 and _credit(state, stats, share, now_ms) >= 1
@@ -69,7 +86,7 @@
     state: State, upstream: Upstream, stats: UpstreamStats, now_ms: Millis
 ) -> UpstreamStats:
     """Charge a request to this entry's share of the rate that an upstream names."""
-    share = share_per_s(state, upstream, now_ms)
+    share = limit_shares(state, now_ms).get(upstream.id)
     if share is None:
         return stats
     credit = max(_credit(state, stats, share, now_ms) - 1, 0.0)
@@ -82,10 +99,6 @@
     return min(stats.credit + earned, MAX_CREDIT)
 
 
-def _is_unconfirmed(limit: NamedLimit, now_ms: Millis) -> bool:
-    return limit.named_ms + UNCONFIRMED_MS <= now_ms
-
-
 @lru_cache(maxsize=1_024)
 def _sharers(upstream_id: str, entries: tuple[str, ...]) -> frozenset[str]:
     """Return the entries that share the rate of an upstream, by rendezvous hashing.
