--- a/bench/capacity_direct.py
+++ b/bench/capacity_direct.py
@@ -28,6 +28,7 @@
     State,
     Target,
     Upstream,
+    limit_report,
 )
 from nutmegslip_entry.direct._reports import Report, encode_report
 
@@ -54,18 +55,32 @@
     for peer in range(peers):
         state, _ = direct.reduce(state, PeerReported(0, f"peer-{peer}", in_flight))
     report = PeerReported(0, "peer-1", in_flight)
+    limited = _with_limits(state)
     changed = direct.UpstreamPublished(0, _upstream(0)._replace(slots=11))
     return {
         "upstreams": count,
         "peers": peers,
         "request_ms": _timed(lambda number: _serve(state, number)),
+        "request_limited_ms": _timed(lambda number: _serve(limited, number)),
         "peer_report_ms": _timed(lambda _: direct.reduce(state, report)),
         "listing_change_ms": _timed(lambda _: direct.reduce(state, changed)),
         "peer_report_bytes": len(encode_report(Report(in_flight, ()), 0)),
         "peer_report_retried_bytes": len(encode_report(_retried(in_flight), 0)),
+        "peer_report_limited_bytes": len(
+            encode_report(Report(in_flight, (), limits=limit_report(limited, 0)), 0)
+        ),
     }
 
 
+def _with_limits(state: State) -> State:
+    """Return the state in which every third upstream names a limit."""
+    for number, upstream in enumerate(state.upstreams.values()):
+        if not number % 3:
+            named = direct.UpstreamLimited(0, upstream, 1.0, 0)
+            state, _ = direct.reduce(state, named)
+    return state
+
+
 def _retried(in_flight: Map[str, int]) -> Report:
     """Return a report with retries at two services and of an ended process."""
     retries = Map({"service-1": 40, "service-2": 40})
