Count crashes of requests also where a whole list shows that an upstream is gone

After a restored store or a gap in its history entries read a whole list, and only single removals and births counted the broken attempts at an upstream; and a registration that lapsed while the store was away counted as its end, though the upstream may serve on. Found by reading the change; the test of what shows that an upstream is gone failed for both. The decision stands where upstreams are removed and replaced now.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_named_limits.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_named_limits.py
@@ -3,8 +3,9 @@
 Answers the load pattern in which an upstream in need names in its answers the rate of
 requests that it takes from all entries together, changes it, and ends it by naming
 none. Answers overtake each other, so one without a rate ends a limit only if its
-request was sent after the limit was last named. Entries tell each other what they were
-told lately, as most of them send such an upstream nothing and would not see the end.
+request was sent after the limit was last named. Entries report to each other what they
+have learned lately, as most of them send such an upstream nothing and would not see the
+end.
 """
 
 from immutables import Map
@@ -38,7 +39,7 @@
 def with_reported_limits(
     state: State, peer: str, reported: Map[str, NamedLimit]
 ) -> State:
-    """Take over what upstreams have said to a peer since this entry was told."""
+    """Take over limits, and ends of limits, that a peer has learned later."""
     for upstream_id, limit in reported.items():
         listed = state.upstreams.get(upstream_id)
         if listed is None or listed.born_ms != limit.born_ms:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
@@ -4,6 +4,7 @@
 
 from immutables import Map
 
+from nutmegslip_decisions.direct._crash_parts import with_upstream_gone
 from nutmegslip_decisions.direct._departures import (
     announces_leaving,
     with_announcement,
@@ -36,6 +37,8 @@
     An incarnation that has said that it leaves stays leaving, whatever is listed.
     """
     old = state.upstreams.get(upstream.id)
+    if old is not None and old.born_ms != upstream.born_ms:
+        state = with_upstream_gone(state, upstream.id, now_ms)
     if announces_leaving(state, upstream):
         upstream = upstream._replace(leaving=True)
     upstreams = state.upstreams.set(upstream.id, upstream)
@@ -101,6 +104,7 @@
 
 def _delete_upstream(state: State, upstream_id: str, now_ms: Millis) -> State:
     old = state.upstreams[upstream_id]
+    state = with_upstream_gone(state, upstream_id, now_ms)
     state = with_removal(without_withheld(state, upstream_id), old, now_ms)
     lapsing = state.lapsing
     if upstream_id in lapsing:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -2,7 +2,6 @@
 
 from nutmegslip_decisions.direct._crash_parts import (
     with_part_report,
-    with_upstream_gone,
     without_expired_parts,
 )
 from nutmegslip_decisions.direct._departures import (
@@ -106,12 +105,8 @@
             return with_configuration(state, configuration), ()
         case UpstreamPublished(now_ms, upstream):
             state = without_withheld(state, upstream.id)
-            known = state.upstreams.get(upstream.id)
-            if known is not None and known.born_ms != upstream.born_ms:
-                state = with_upstream_gone(state, upstream.id, now_ms)
             return dispatch_all(with_upstream(state, upstream, now_ms), now_ms)
         case UpstreamRemoved(now_ms, upstream_id):
-            state = with_upstream_gone(state, upstream_id, now_ms)
             return without_upstream(state, upstream_id, now_ms), ()
         case ZonesOut(now_ms, zones):
             return dispatch_all(with_zones_read(state, zones, now_ms), now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -90,7 +90,7 @@
 
 
 def _fingerprint(caller_request: CallerRequest, account: Account) -> str:
-    """Return what tells a request that comes again: what it asks for, and for whom."""
+    """Return a hash of what a request asks for and of its account, empty if unknown."""
     if not caller_request.fingerprint:
         return ""
     text = f"{account.name} {caller_request.fingerprint}"
--- a/tests/test_direct_crash_requests.py
+++ b/tests/test_direct_crash_requests.py
@@ -13,11 +13,13 @@
     AttemptFailed,
     Broken,
     Crash,
+    ListingRead,
     NotSent,
     PartReport,
     PeerReported,
     RefusalKind,
     Refuse,
+    StoreLost,
     UpstreamPublished,
     UpstreamRemoved,
 )
@@ -124,8 +126,18 @@
         def listed_again(world, upstream_id):
             world.take(UpstreamPublished(world.now_ms, upstream(upstream_id, slots=6)))
 
+        def listed_without(world, upstream_id):
+            others = [u for u in self.upstreams if u.id != upstream_id]
+            world.take(ListingRead(world.now_ms, tuple(others)))
+
+        def lapsed(world, upstream_id):
+            world.take(StoreLost(world.now_ms))
+            world.take(UpstreamRemoved(world.now_ms, upstream_id))
+
         for shown, counts in (
             (refused, [1]),
+            (listed_without, [1]),
+            (lapsed, []),
             (removed, [1]),
             (reborn, [1]),
             (listed_again, []),
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -337,7 +337,7 @@
 
     @invariant()
     def named_limits_hold(self):
-        """An entry sends its share since it was told, and one request at once."""
+        """From the naming on an entry sends its share, and one request at once."""
         for incarnation, (per_s, told_ms, before) in self.told.items():
             sent = len(self.limited_sends[incarnation]) - before
             share = max(per_s / ENTRIES, 0.02)
