Let the soak take only answers of runs for answers that were passed on

Traced by its logs: the runner had rejected a request as misdirected, with the word that it leaves; another runner served that request, and the check took the caller's 200 for an answer of the first. The rule binds a machine by what it has passed on.

--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -33,13 +33,23 @@
     {Fault.NO_LENGTH, Fault.CLOSE_CUT, Fault.CLOSE_RESET, Fault.CLOSE_EMPTY}
 )
 
+REJECTIONS = frozenset(
+    {
+        Fault.PAUSE,
+        Fault.SHED,
+        Fault.STALLED_SHED,
+        Fault.ENDLESS_SHED,
+        Fault.MISDIRECTED,
+    }
+)
+
 
 class Arrival(NamedTuple):
     """One request that arrived.
 
     ``own`` is whether it was meant for this runner. ``leaving`` is whether the answer
-    says that the runner leaves, ``pause_ms`` the pause that it asks for, 0 for none,
-    ``limit_per_s`` the limit that it names, None for none.
+    of a run says that the runner leaves, ``pause_ms`` the pause that it asks for, 0 for
+    none, ``limit_per_s`` the limit that it names, None for none.
     """
 
     at_ms: int
@@ -154,12 +164,13 @@
         pause_ms = 0
         if self.fault is Fault.PAUSE and own:
             pause_ms = int(float(self.pause) * 1_000)
+        rejects = self.fault in REJECTIONS or not own
         self.arrivals.append(
             Arrival(
                 boottime_ms(),
                 request_id,
                 own,
-                self.leaving,
+                self.leaving and not rejects,
                 pause_ms,
                 self.limit_per_s,
             )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from fakes.runners import Arrival, Fault
+from fakes.runners import Arrival, Fault, Runner
+from nutmegslip_runtime.http1 import encode_request
 from soak import Action, Step, plan, run, run_steps
 from soak._guarantees import (
     BAD_TARGET,
@@ -24,7 +25,7 @@
 from soak._retries import find_excess_retries
 
 # Seeds that failed once; docs/soak.md tells why.
-REGRESSIONS = (121, 123, 152, 1001)
+REGRESSIONS = (121, 123, 152, 1001, 2034)
 SHORT_SEED, SHORT_STEPS = 5, 16
 LIMITS_SEED = 2  # without bad prompts or requests
 ENDING_REQUEST_SEED = 10
@@ -243,6 +244,21 @@
                 self.assertEqual(len(self._found([asked, *later], disturbances)), count)
 
 
+class LeavingArrivalTests(unittest.TestCase):
+    """A rejection is not passed on, so it tells no caller that its runner leaves."""
+
+    def test_only_runs_say_that_their_runner_leaves(self):
+        for fault, leaving in ((Fault.NONE, True), (Fault.MISDIRECTED, False)):
+            with self.subTest(fault=fault):
+                runner = Runner("r1")
+                runner.leaving, runner.fault = True, fault
+                with socket.create_connection(runner.address.split(":")) as sock:
+                    sock.sendall(encode_request(b"GET", b"/x", [], b""))
+                    sock.recv(1_000)
+                runner.close()
+                self.assertEqual([a.leaving for a in runner.arrivals], [leaving])
+
+
 class SharedLimitTests(unittest.TestCase):
     """The checks of named limits and of requests that end runners can fail."""
 
