--- a/tests/crash_parts_world.py
+++ b/tests/crash_parts_world.py
@@ -4,15 +4,12 @@
 from random import Random
 from typing import NamedTuple
 
-from immutables import Map
-
 from nutmegslip_decisions.direct import (
     AttemptFailed,
     Broken,
     Declined,
     GroupRank,
     Options,
-    PeerReported,
     RefusalKind,
     Refuse,
     RequestEnded,
@@ -20,10 +17,8 @@
     Send,
     Tick,
     UpstreamPublished,
-    load_report,
-    part_report,
 )
-from tests.direct_world import World, upstream
+from tests.direct_world import World, crash_report, upstream
 
 STEP_MS = 10
 BEGIN_MS, ANSWER_MS = 150, 500  # from the sending of a request
@@ -251,13 +246,7 @@
         for other in range(len(self.entries)):
             if other == number or self.random.random() < self.load.report_loss:
                 continue
-            report = PeerReported(
-                self.now_ms,
-                f"10.0.0.{number}",
-                Map(load_report(world.state)),
-                part_report(world.state),
-            )
-            self._take(other, report)
+            self._take(other, crash_report(self.now_ms, number, world))
 
     def _faults(self) -> None:
         step_s = STEP_MS / 1_000
--- a/tests/crash_requests_world.py
+++ b/tests/crash_requests_world.py
@@ -3,14 +3,11 @@
 from random import Random
 from typing import NamedTuple
 
-from immutables import Map
-
 from nutmegslip_decisions.direct import (
     AttemptFailed,
     Broken,
     NotSent,
     Options,
-    PeerReported,
     Refuse,
     RequestEnded,
     ResponseStarted,
@@ -18,10 +15,8 @@
     Tick,
     UpstreamPublished,
     UpstreamRemoved,
-    load_report,
-    part_report,
 )
-from tests.direct_world import World, upstream
+from tests.direct_world import World, crash_report, upstream
 
 STEP_MS = 5
 ANSWER_MS = 60  # from the sending of a request; the answer begins as it ends
@@ -265,10 +260,4 @@
         for other in range(len(self.entries)):
             if other == number or self.random.random() < self.load.report_loss:
                 continue
-            report = PeerReported(
-                self.now_ms,
-                f"10.0.0.{number}",
-                Map(load_report(world.state)),
-                part_report(world.state),
-            )
-            self._take(other, report)
+            self._take(other, crash_report(self.now_ms, number, world))
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -12,6 +12,7 @@
     Event,
     ListingRead,
     Options,
+    PeerReported,
     RequestArrived,
     RequestKind,
     RequestLimits,
@@ -20,6 +21,8 @@
     State,
     Target,
     Upstream,
+    load_report,
+    part_report,
 )
 
 HOST = "hymns.example"
@@ -105,6 +108,12 @@
     return base._replace(**changes)
 
 
+def crash_report(now_ms: int, number: int, world: "World") -> PeerReported:
+    """Return what an entry reports of its load and of crashes."""
+    load = Map(load_report(world.state))
+    return PeerReported(now_ms, f"10.0.0.{number}", load, part_report(world.state))
+
+
 class World:
     """An entry that events are fed to, with its clock and state."""
 
