--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -245,7 +245,7 @@
 
 
 class LeavingArrivalTests(unittest.TestCase):
-    """A rejection is not passed on, so it tells no caller that its runner leaves."""
+    """No caller gets the rejection of a runner, nor its notice that it leaves."""
 
     def test_only_runs_say_that_their_runner_leaves(self):
         for fault, leaving in ((Fault.NONE, True), (Fault.MISDIRECTED, False)):
