Hedge slow requests that may be repeated, within a limit of the operator

Cause: a few slow upstreams decide the slowest answers.

A request that may be repeated is sent to a second free upstream once it has taken longer than usual; the first answer counts, the other attempt is closed. Off by default and in the deployed template (hedge.max_share = 0). Counted as a retry and as one of the route's attempts; withheld while requests wait, three quarters of the slots are taken, half of the retry budget is spent, or an upstream has crashed on it.

The tests cannot run before the change, which has no such event or setting. Instead each condition was removed in turn, 23 mutations: all are red but the explicit check of zones out of service, which the choice of upstreams makes as well. In tests/test_direct_fuzz.py the model now knows two attempts of a request; its checks of slots compare by upstream instead of in sum, and it checks attempts, budget and limit of hedges too.

--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -46,6 +46,8 @@
 cold_multiplier = 1.5
 cold_slack = 5
 stop_grace_s = 8
+[hedge]
+max_share = {hedge_share}
 """
 
 
@@ -90,6 +92,7 @@
         peers_port: int = 0,
         seeds: tuple[str, ...] = (),
         retries: RetryLimits = _USUAL_RETRIES,
+        hedge_share: float = 0.0,
     ) -> None:
         self.ip = ip
         # Kept bound, so that nothing else gets a port before the entry listens.
@@ -108,6 +111,7 @@
             "seeds": seed_list,
             "budget_window_s": retries.window_s,
             "budget_slack": retries.slack,
+            "hedge_share": hedge_share,
             **self.ports._asdict(),
         }
         self._write_settings()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -8,9 +8,24 @@
     part_gate,
     with_probe,
 )
-from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
+from nutmegslip_decisions.direct._events import (
+    Effect,
+    Hedge,
+    RefusalKind,
+    Refuse,
+    Send,
+)
+from nutmegslip_decisions.direct._hedges import (
+    Withheld,
+    attempt_at,
+    hedge_choice,
+    hedge_due_ms,
+    with_hedge_counted,
+    with_later_hedge,
+    with_second_attempt,
+)
 from nutmegslip_decisions.direct._state import State
-from nutmegslip_decisions.direct._types import Request
+from nutmegslip_decisions.direct._types import Request, Upstream
 from nutmegslip_decisions.direct._upstream_shares import with_credit_spent
 from nutmegslip_decisions.direct._waiting import (
     dequeue,
@@ -59,15 +74,34 @@
         sent_at_ms=now_ms,
         tried=request.tried | {upstream_id},
         sends=request.sends + 1,
+        hedge_ms=hedge_due_ms(state, request, now_ms),
     )
-    stats = state.stats_of(upstream_id)
+    state = _with_attempt_counted(state, upstream, now_ms)
+    state = state._replace(requests=state.requests.set(request.ticket, sent))
+    return state, (Send(sent, upstream),)
+
+
+def send_hedge(state: State, ticket: int, now_ms: Millis) -> Step:
+    """Send a request a second time if that is due and allowed."""
+    request = state.requests.get(ticket)
+    if request is None or request.hedge_ms is None or request.hedge_ms > now_ms:
+        return state, ()
+    found = hedge_choice(state, request, now_ms)
+    if isinstance(found, Withheld):
+        later = with_later_hedge(request, now_ms)
+        return state._replace(requests=state.requests.set(ticket, later)), ()
+    state = with_hedge_counted(state, request.service, now_ms)
+    state = _with_attempt_counted(state, found, now_ms)
+    hedged = with_second_attempt(request, found, now_ms)
+    state = state._replace(requests=state.requests.set(ticket, hedged))
+    return state, (Hedge(attempt_at(hedged, found.id), found),)
+
+
+def _with_attempt_counted(state: State, upstream: Upstream, now_ms: Millis) -> State:
+    stats = state.stats_of(upstream.id)
     stats = with_credit_spent(state, upstream, stats, now_ms)
     updated = stats._replace(in_flight=stats.in_flight + 1, sent=stats.sent.add(now_ms))
-    state = state._replace(
-        requests=state.requests.set(request.ticket, sent),
-        upstream_stats=state.upstream_stats.set(upstream_id, updated),
-    )
-    return state, (Send(sent, upstream),)
+    return state._replace(upstream_stats=state.upstream_stats.set(upstream.id, updated))
 
 
 def _has_sendable(state: State, service: str, now_ms: Millis) -> bool:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -206,17 +206,31 @@
     """An attempt failed.
 
     ``streaming`` is whether part of a stream was already sent to the caller.
+    ``upstream`` is the id of its upstream, empty for the only attempt.
     """
 
     now_ms: Millis
     ticket: int
     failure: Failure
     streaming: bool = False
+    upstream: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseStarted:
-    """The first part of an answer arrived from the upstream."""
+    """The first part of an answer arrived from the upstream.
+
+    ``upstream`` is its id, empty for the only attempt.
+    """
+
+    now_ms: Millis
+    ticket: int
+    upstream: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class HedgeDue:
+    """The time of a request's second attempt has come."""
 
     now_ms: Millis
     ticket: int
@@ -268,6 +282,7 @@
     | RequestArrived
     | AttemptFailed
     | ResponseStarted
+    | HedgeDue
     | PaceMeasured
     | RequestEnded
     | Tick
@@ -345,6 +360,22 @@
     upstream: Upstream
 
 
+@dataclass(frozen=True, slots=True)
+class Hedge:
+    """Send a request a second time, while its first attempt goes on."""
+
+    request: Request
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Close the connection of an attempt whose request is answered by the other."""
+
+    ticket: int
+    upstream_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Answer a request with a refusal.
@@ -366,4 +397,4 @@
     ticket: int
 
 
-Effect = Send | Refuse | DeliverFailure
+Effect = Send | Hedge | CancelAttempt | Refuse | DeliverFailure
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
@@ -13,6 +13,9 @@
     minimum count of entries that share the limits. ``budget_*``
     limit retries at a service, ``cold_*`` limit requests to a cold upstream.
     ``rejoin_ms`` is how long removed upstreams are kept after a store outage.
+    ``hedge_max_share`` limits second attempts of slow requests, as a share of the
+    requests for a service, 0 for none; ``hedge_after_quantile`` is the share of
+    answers that begin before a request counts as slow.
     """
 
     name: str
@@ -25,6 +28,8 @@
     cold_multiplier: float = 1.0
     cold_slack: float = 0.0
     rejoin_ms: int = 2_000
+    hedge_max_share: float = 0.0
+    hedge_after_quantile: float = 0.95
 
     @property
     def retry_window_ms(self) -> int:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -14,11 +14,13 @@
     dispatch,
     dispatch_all,
     refuse_overdue,
+    send_hedge,
 )
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
     ConfigurationPublished,
     Event,
+    HedgeDue,
     ListingRead,
     OptionsChanged,
     PaceMeasured,
@@ -82,8 +84,10 @@
             return admit_when_started(state, request, now_ms)
         case AttemptFailed():
             return handle_failure(state, event)
-        case ResponseStarted(now_ms, ticket):
-            return record_start(state, ticket, now_ms), ()
+        case ResponseStarted():
+            return record_start(state, event)
+        case HedgeDue(now_ms, ticket):
+            return send_hedge(state, ticket, now_ms)
         case PaceMeasured(now_ms, service, group, gap_ms):
             paced = with_pace(state, service, group, gap_ms)
             return dispatch(paced, service, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -20,12 +20,14 @@
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
     Broken,
+    CancelAttempt,
     Declined,
     DeliverFailure,
     Errored,
     NotSent,
     RefusalKind,
     Refuse,
+    ResponseStarted,
 )
 from nutmegslip_decisions.direct._failures import (
     may_have_executed,
@@ -33,6 +35,11 @@
     stats_after_failure,
 )
 from nutmegslip_decisions.direct._groups import with_suspicion, without_suspicion
+from nutmegslip_decisions.direct._hedges import (
+    attempt_at,
+    other_attempt,
+    with_start_measured,
+)
 from nutmegslip_decisions.direct._routes import pick_service, priority_of
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Account, CallerRequest, Request, Route
@@ -97,18 +104,35 @@
     return xxhash.xxh3_64_hexdigest(text.encode())
 
 
-def record_start(state: State, ticket: int, now_ms: Millis) -> State:
-    """Measure the time to the start of an answer; trust its upstream's group again."""
-    request = state.requests.get(ticket)
+def record_start(state: State, event: ResponseStarted) -> Step:
+    """Keep the attempt whose answer begins first, and cancel the other one."""
+    request = state.requests.get(event.ticket)
     if request is None or not request.upstream:
-        return state
+        return state, ()
+    begun = attempt_at(request, event.upstream)
+    if begun is None:
+        return state, ()
+    now_ms = event.now_ms
+    state = with_start_measured(state, request, now_ms)
+    begun = begun._replace(hedge_ms=None, hedge=None)
+    other = other_attempt(request, event.upstream)
+    if other is None:
+        return _with_begun(state, begun, now_ms), ()
+    state = _with_slot_released(state, other.upstream)
+    state = _with_begun(state, begun, now_ms)
+    state, sent = dispatch(state, begun.service, now_ms)
+    return state, (CancelAttempt(begun.ticket, other.upstream), *sent)
+
+
+def _with_begun(state: State, request: Request, now_ms: Millis) -> State:
+    """Measure the time to the start of an answer; trust its upstream's group again."""
     load = load_of(state, request.service)
     took_ms = now_ms - request.sent_at_ms
     start_ms = load.start_ms + SMOOTHING * (took_ms - load.start_ms)
     load = load._replace(start_ms=start_ms, answered_ms=now_ms)
     state = state._replace(
         loads=state.loads.set(request.service, load),
-        requests=state.requests.set(ticket, request._replace(begun=True)),
+        requests=state.requests.set(request.ticket, request._replace(begun=True)),
     )
     state = with_begun_answer(state, request, now_ms)
     upstream = state.upstreams.get(request.upstream)
@@ -116,12 +140,14 @@
 
 
 def handle_failure(state: State, event: AttemptFailed) -> Step:
-    """Retry a request after a failed attempt, or end it."""
+    """Retry a request after a failed attempt, or end it; another attempt goes on."""
     request = state.requests.get(event.ticket)
+    remaining = request and other_attempt(request, event.upstream)
+    request = request and attempt_at(request, event.upstream)
     if request is None:
         return state, ()
     now_ms, failure = event.now_ms, event.failure
-    state = _with_slot_released(state, request)
+    state = _with_slot_released(state, request.upstream)
     stats = stats_after_failure(state.stats_of(request.upstream), failure, now_ms)
     state = state._replace(
         upstream_stats=state.upstream_stats.set(request.upstream, stats)
@@ -135,7 +161,10 @@
         state = with_upstream_gone(state, request.upstream, now_ms)
     sent = not _is_unsent(failure)
     request = request._replace(
-        upstream="",
+        upstream=remaining.upstream if remaining else "",
+        sent_at_ms=remaining.sent_at_ms if remaining else request.sent_at_ms,
+        hedge_ms=None,
+        hedge=None,
         sends=request.sends if sent else request.sends - 1,
         reached=request.reached + (not isinstance(failure, NotSent)),
         may_have_run=request.may_have_run or may_have_executed(failure),
@@ -144,6 +173,8 @@
         met_crash=request.met_crash or crashed,
     )
     state = state._replace(requests=state.requests.set(request.ticket, request))
+    if remaining is not None:
+        return dispatch(state, request.service, now_ms)
     repeat = not (crashed and is_suspected(state, request))
     if repeat and may_retry(state, request, failure, now_ms):
         state, effects = send_or_queue(state, request, now_ms)
@@ -179,7 +210,9 @@
     if request.upstream:
         if answered:
             state = _with_answer_recorded(state, request, now_ms)
-        state = _with_slot_released(state, request)
+        state = _with_slot_released(state, request.upstream)
+    if request.hedge is not None:
+        state = _with_slot_released(state, request.hedge.upstream)
     return dispatch(remove_request(state, request), request.service, now_ms)
 
 
@@ -193,9 +226,7 @@
     return state._replace(loads=loads, upstream_stats=upstream_stats)
 
 
-def _with_slot_released(state: State, request: Request) -> State:
-    stats = state.stats_of(request.upstream)
+def _with_slot_released(state: State, upstream_id: str) -> State:
+    stats = state.stats_of(upstream_id)
     freed = stats._replace(in_flight=stats.in_flight - 1)
-    return state._replace(
-        upstream_stats=state.upstream_stats.set(request.upstream, freed)
-    )
+    return state._replace(upstream_stats=state.upstream_stats.set(upstream_id, freed))
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -80,6 +80,17 @@
     open_shares: Map[str, float] = Map()
 
 
+class HedgeStats(NamedTuple):
+    """Second attempts of slow requests at a service.
+
+    ``starts`` are recent times in milliseconds to the first part of an answer, those of
+    streams under True.
+    """
+
+    sent: Window
+    starts: Map[bool, tuple[int, ...]] = Map()
+
+
 class GroupSuspicion(NamedTuple):
     """The epoch in which a group had a rank at fault.
 
@@ -164,6 +175,7 @@
     suspicions: Map[str, GroupSuspicion] = Map()
     parts: PartEvidence = PartEvidence()
     loads: Map[str, ServiceLoad] = Map()
+    hedges: Map[str, HedgeStats] = Map()
     requests: Map[int, Request] = Map()
     unadmitted: Map[int, Unadmitted] = Map()
     waiting: Map[str, tuple[int, ...]] = Map()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -230,6 +230,13 @@
     fingerprint: str = ""
 
 
+class Attempt(NamedTuple):
+    """An attempt in flight."""
+
+    upstream: str
+    sent_at_ms: Millis
+
+
 class Request(NamedTuple):
     """One admitted request without a final answer.
 
@@ -237,7 +244,8 @@
     that arrived at an upstream, misdirected ones included. ``begun`` is whether the
     answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
     before it did. ``fingerprint`` is the same for a request that a caller sends again,
-    at whichever entry.
+    at whichever entry. ``hedge_ms`` is when a second attempt is due, None for never;
+    ``hedge`` is that attempt while both are in flight.
     """
 
     ticket: int
@@ -259,6 +267,8 @@
     begun: bool = False
     met_crash: bool = False
     fingerprint: str = ""
+    hedge_ms: Millis | None = None
+    hedge: Attempt | None = None
 
     @property
     def subjects(self) -> tuple[str, ...]:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -1,7 +1,6 @@
 """Forward requests from callers to upstreams and return the answers."""
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 import msgspec
 import xxhash
@@ -32,6 +31,13 @@
     HeaderCodec,
 )
 from nutmegslip_entry.direct._pool import Pool
+from nutmegslip_entry.direct._race import (
+    AttemptResult,
+    BegunStream,
+    CompleteAnswer,
+    FailedAttempt,
+    Race,
+)
 from nutmegslip_entry.direct._state_machine import StateMachine
 from nutmegslip_runtime.http1 import (
     ClientConnection,
@@ -52,14 +58,6 @@
 SUCCESS_STATUSES = range(200, 300)
 
 
-@dataclass(frozen=True, slots=True)
-class _CompleteAnswer:
-    """A complete answer of an upstream."""
-
-    answer: ResponseHead
-    body: bytes
-
-
 class Exchanges:
     """Serve requests; each runs ``serve`` in its own greenlet."""
 
@@ -131,7 +129,7 @@
         self._caller = caller
         self._http_request = http_request
         self._events = EventSplitter()
-        self._failed_answer: _CompleteAnswer | None = None
+        self._failed_answer: CompleteAnswer | None = None
 
     def run(self, arrival: CallerRequest) -> bool:
         """Execute the reducer's steps; return whether an upstream answered."""
@@ -142,7 +140,10 @@
         while True:
             match step:
                 case Send(request, upstream):
-                    failure = self._attempt(request, upstream)
+                    if request.hedge_ms is None:
+                        failure = self._attempt(request, upstream)
+                    else:
+                        upstream, failure = self._race(request, upstream)
                     if failure is None:
                         return True
                     failed = AttemptFailed(
@@ -150,6 +151,7 @@
                         request.ticket,
                         failure,
                         streaming=self._caller.streaming,
+                        upstream=upstream.id,
                     )
                     step = machine.dispatch_and_wait(request.ticket, failed)
                 case Refuse():
@@ -222,6 +224,26 @@
     def _relay_answer(
         self, connection: ClientConnection, request: Request, upstream: Upstream
     ) -> Failure | None:
+        answer = self._read_checked_answer(connection, request, upstream)
+        if isinstance(answer, Declined):
+            return answer
+        if _is_stream(answer):
+            self._events.restart()
+            self._relay_stream(connection, answer, request, upstream)
+            return None
+        self._machine.dispatch(ResponseStarted(self._machine.clock(), request.ticket))
+        body = connection.read_whole_body(request.deadline_ms)
+        complete = CompleteAnswer(answer, body)
+        if answer.status >= FIRST_SERVER_ERROR_STATUS:
+            self._failed_answer = complete
+            return Errored()
+        self._forward(complete)
+        return None
+
+    def _read_checked_answer(
+        self, connection: ClientConnection, request: Request, upstream: Upstream
+    ) -> ResponseHead | Declined:
+        """Return the head of an answer that may be passed on, or the rejection."""
         answer, fields = self._read_own_answer(connection, request, upstream)
         if fields.not_run:
             unread = self._skip_rejection_body(connection, request)
@@ -231,20 +253,92 @@
                 raise ConnectionBroken(
                     "the success answer is unsealed or content-encoded"
                 )
-            content_type = answer.header(b"content-type") or b""
-            if content_type.startswith(b"text/event-stream"):
-                self._relay_stream(connection, answer, request, upstream)
-                return None
         elif self._caller.streaming:
             raise ConnectionBroken("the stream could not be resumed")
-        self._machine.dispatch(ResponseStarted(self._machine.clock(), request.ticket))
-        complete = _CompleteAnswer(
+        return answer
+
+    def _race(
+        self, request: Request, upstream: Upstream
+    ) -> tuple[Upstream, Failure | None]:
+        """Forward the first answer; return its upstream and failure, if any."""
+        race = Race(self._machine, self._attempt_start)
+        request, upstream, result = race.run(request, upstream)
+        match result:
+            case FailedAttempt(failure):
+                return upstream, failure
+            case CompleteAnswer():
+                self._forward(result)
+                return upstream, None
+            case BegunStream():
+                return upstream, self._relay_begun_stream(result, request, upstream)
+
+    def _attempt_start(self, request: Request, upstream: Upstream) -> AttemptResult:
+        """Send to one upstream, and read a whole answer or the start of a stream."""
+        try:
+            connection = self._pool.acquire(upstream, request.deadline_ms, fresh=False)
+        except NotConnected as error:
+            return FailedAttempt(NotSent(str(error)))
+        result: AttemptResult | None = None
+        body_begun = False
+        try:
+            if not self._send_request(connection, request, upstream):
+                unsent = NotSent("the deadline passed before the request was sent")
+                return FailedAttempt(unsent)
+            answer = self._read_checked_answer(connection, request, upstream)
+            body_begun = isinstance(answer, ResponseHead) and not _is_stream(answer)
+            result = self._read_start(connection, request, answer)
+        except ConnectionBroken as error:
+            closed = isinstance(error, ConnectionClosed) and not body_begun
+            return FailedAttempt(Broken(str(error), closed=closed))
+        finally:
+            if result is None:
+                connection.close()
+            elif not isinstance(result, BegunStream):
+                self._pool.release(upstream, connection)
+        return result
+
+    def _read_start(
+        self,
+        connection: ClientConnection,
+        request: Request,
+        answer: ResponseHead | Declined,
+    ) -> AttemptResult:
+        if isinstance(answer, Declined):
+            return FailedAttempt(answer)
+        if _is_stream(answer):
+            return _read_first_events(connection, request, answer)
+        complete = CompleteAnswer(
             answer, connection.read_whole_body(request.deadline_ms)
         )
-        if answer.status >= FIRST_SERVER_ERROR_STATUS:
-            self._failed_answer = complete
-            return Errored()
-        self._forward(complete)
+        if answer.status < FIRST_SERVER_ERROR_STATUS:
+            return complete
+        self._failed_answer = complete
+        return FailedAttempt(Errored())
+
+    def _relay_begun_stream(
+        self, begun: BegunStream, request: Request, upstream: Upstream
+    ) -> Failure | None:
+        """Forward a stream from its first events on; return the failure, if any."""
+        connection, self._events = begun.connection, begun.splitter
+        answer_read = False
+        try:
+            if begun.events:
+                self._caller.stream(
+                    begun.answer, begun.events, self._http_request.version
+                )
+                self._relay_stream(
+                    connection, begun.answer, request, upstream, self._machine.clock()
+                )
+            else:
+                self._end_stream(begun.answer)
+            answer_read = True
+        except ConnectionBroken as error:
+            return Broken(str(error), closed=isinstance(error, ConnectionClosed))
+        finally:
+            if answer_read:
+                self._pool.release(upstream, connection)
+            else:
+                connection.close()
         return None
 
     def _skip_rejection_body(
@@ -292,9 +386,9 @@
         answer: ResponseHead,
         request: Request,
         upstream: Upstream,
+        last_ms: int = 0,
     ) -> None:
-        self._events.restart()
-        last_ms = 0
+        """Forward the events of a stream; ``last_ms`` is when the last one arrived."""
         read: Callable[[], bytes] = lambda: connection.read_body(  # noqa: E731
             request.deadline_ms
         )
@@ -310,17 +404,40 @@
                     self._machine.dispatch(ResponseStarted(now_ms, request.ticket))
                 last_ms = now_ms
                 self._caller.stream(answer, events, self._http_request.version)
+        self._end_stream(answer)
+
+    def _end_stream(self, answer: ResponseHead) -> None:
         if not self._events.is_complete:
             raise ConnectionBroken("the stream ended within an event")
         if not self._caller.streaming:
             self._caller.stream(answer, b"", self._http_request.version)
         self._caller.end_stream()
 
-    def _forward(self, complete: _CompleteAnswer) -> None:
+    def _forward(self, complete: CompleteAnswer) -> None:
         head_only = self._http_request.method == b"HEAD"
         self._caller.forward(complete.answer, complete.body, head_only)
 
 
+def _is_stream(answer: ResponseHead) -> bool:
+    content_type = answer.header(b"content-type") or b""
+    return answer.status in SUCCESS_STATUSES and content_type.startswith(
+        b"text/event-stream"
+    )
+
+
+def _read_first_events(
+    connection: ClientConnection, request: Request, answer: ResponseHead
+) -> BegunStream:
+    splitter = EventSplitter()
+    while data := connection.read_body(request.deadline_ms):
+        events = splitter.feed(data)
+        if splitter.is_too_long:
+            raise ConnectionBroken("an event of the stream is too long")
+        if events:
+            return BegunStream(connection, answer, splitter, events)
+    return BegunStream(connection, answer, splitter, b"")
+
+
 def _problem(refusal: Refuse, status: int, headers: list[Header]) -> bytes:
     """Return a problem document for the caller, and add its type to the headers."""
     if not refusal.kind.advice:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -7,6 +7,7 @@
     SUSPECT_CRASHES,
     AttemptFailed,
     Broken,
+    CancelAttempt,
     ConfigurationPublished,
     Declined,
     DeliverFailure,
@@ -14,6 +15,8 @@
     Errored,
     Event,
     Failure,
+    Hedge,
+    HedgeDue,
     ListingRead,
     NotSent,
     PaceMeasured,
@@ -21,6 +24,7 @@
     Request,
     RequestArrived,
     RequestEnded,
+    ResponseStarted,
     Send,
     State,
     StoreLost,
@@ -31,7 +35,11 @@
     UpstreamPaused,
     UpstreamPublished,
     UpstreamRemoved,
+    Withheld,
     ZonesOut,
+    attempt_at,
+    hedge_choice,
+    hedge_limit,
     retry_budget,
 )
 
@@ -100,6 +108,7 @@
             yield _log_line("limit-unreadable", upstream=upstream.id, value=unreadable)
         case AttemptFailed(_, ticket, failure):
             request = before.requests.get(ticket)
+            request = request and attempt_at(request, event.upstream)
             if request is not None:
                 yield LogLine(
                     "direct-attempt-failed",
@@ -116,6 +125,10 @@
                 )
         case PaceMeasured(_, service, group, gap_ms):
             yield from _slot_lines(before, after, service, group, gap_ms)
+        case HedgeDue(now_ms, ticket) if not effects:
+            yield from _withheld_lines(before, ticket, now_ms)
+        case ResponseStarted(now_ms, ticket, upstream_id):
+            yield from _hedge_won_lines(before, ticket, upstream_id, now_ms)
         case RequestEnded(_, ticket, answered):
             request = before.requests.get(ticket)
             if request is not None:
@@ -138,6 +151,38 @@
     )
 
 
+def _withheld_lines(state: State, ticket: int, now_ms: int) -> Iterator[LogLine]:
+    """Yield a line with the reason for which a request that is due is not hedged."""
+    request = state.requests.get(ticket)
+    if request is None or request.hedge_ms is None or request.hedge_ms > now_ms:
+        return
+    reason = hedge_choice(state, request, now_ms)
+    if isinstance(reason, Withheld):
+        yield LogLine(
+            "hedge-withheld",
+            request.request_id,
+            {"service": request.service, "reason": str(reason)},
+        )
+
+
+def _hedge_won_lines(
+    state: State, ticket: int, upstream_id: str, now_ms: int
+) -> Iterator[LogLine]:
+    request = state.requests.get(ticket)
+    if request is None or request.hedge is None:
+        return
+    if request.hedge.upstream == upstream_id:
+        yield LogLine(
+            "hedge-won",
+            request.request_id,
+            {
+                "upstream": upstream_id,
+                "after_ms": now_ms - request.hedge.sent_at_ms,
+                "first_after_ms": now_ms - request.sent_at_ms,
+            },
+        )
+
+
 def _avoided_ms(state: State, request: Request, now_ms: int) -> int:
     return max(state.stats_of(request.upstream).avoid_until_ms - now_ms, 0)
 
@@ -242,6 +287,24 @@
             )
             if request.reached:
                 yield _retry_line(request, after)
+        case Hedge(request, upstream):
+            first = after.requests[request.ticket]
+            limit = hedge_limit(after, request.service, request.sent_at_ms)
+            yield LogLine(
+                "hedge-sent",
+                request.request_id,
+                {
+                    "upstream": upstream.id,
+                    "first": first.upstream,
+                    "service": request.service,
+                    "after_ms": request.sent_at_ms - first.sent_at_ms,
+                    "hedges": limit.sent,
+                    "allowed": round(limit.allowed, 1),
+                },
+            )
+        case CancelAttempt(ticket, upstream_id):
+            request_id = _request_id(event, before, ticket)
+            yield LogLine("attempt-cancelled", request_id, {"upstream": upstream_id})
         case Refuse(ticket, kind, ran, retry_after_ms):
             yield LogLine(
                 "request-refused",
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from nutmegslip_decisions.direct import State, retry_budget
+from nutmegslip_decisions.direct import State, hedge_limit, retry_budget
 from nutmegslip_decisions.model import Millis
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
@@ -52,6 +52,18 @@
             ["service"],
             registry=self.registry,
         )
+        self._hedges = Gauge(
+            "nutmegslip_hedges",
+            "Second attempts of slow requests that this entry sent in the window.",
+            ["service"],
+            registry=self.registry,
+        )
+        self._hedges_allowed = Gauge(
+            "nutmegslip_hedges_allowed",
+            "Second attempts of slow requests that this entry may send in the window.",
+            ["service"],
+            registry=self.registry,
+        )
         self._limited_upstreams = Gauge(
             "nutmegslip_limited_upstreams",
             "Upstreams that name a limit on the requests that they take.",
@@ -85,3 +97,6 @@
             budget = retry_budget(state, service, now_ms)
             self._retries.labels(service).set(budget.retries)
             self._retries_allowed.labels(service).set(budget.allowed)
+            limit = hedge_limit(state, service, now_ms)
+            self._hedges.labels(service).set(limit.sent)
+            self._hedges_allowed.labels(service).set(limit.allowed)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -42,12 +42,18 @@
     stop_grace_s: NotRequired[float]
 
 
+class _Hedge(TypedDict):
+    max_share: NotRequired[float]
+    after_quantile: NotRequired[float]
+
+
 class _File(TypedDict):
     process: _Process
     listen: _Listen
     fleet: _Fleet
     store: _Store
     bounds: _Bounds
+    hedge: NotRequired[_Hedge]
 
 
 class Settings(NamedTuple):
@@ -110,6 +116,7 @@
 def _options(sections: _File) -> Options:
     process, fleet, bounds = sections["process"], sections["fleet"], sections["bounds"]
     peers_host, _ = _address(sections["listen"]["peers"])
+    hedge = sections.get("hedge", _Hedge())
     defaults = Options(process["host"], peers_host, process["zone"])
     return defaults._replace(
         # Each zone has at least one entry, even if the seeds do not list it yet.
@@ -119,9 +126,20 @@
         budget_slack=bounds.get("budget_slack", defaults.budget_slack),
         cold_multiplier=bounds.get("cold_multiplier", defaults.cold_multiplier),
         cold_slack=bounds.get("cold_slack", defaults.cold_slack),
+        hedge_max_share=_share(hedge, "max_share", defaults.hedge_max_share),
+        hedge_after_quantile=_share(
+            hedge, "after_quantile", defaults.hedge_after_quantile
+        ),
     )
 
 
+def _share(hedge: _Hedge, key: str, default: float) -> float:
+    value = hedge.get(key, default)
+    if not 0 <= value < 1:
+        raise ValueError(f"hedge.{key} is {value}, which is not from 0 to below 1")
+    return value
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -6,9 +6,11 @@
 
 from nutmegslip_decisions import direct
 from nutmegslip_decisions.direct import (
+    CancelAttempt,
     DeliverFailure,
     Effect,
     Event,
+    Hedge,
     PaceMeasured,
     Refuse,
     Send,
@@ -48,8 +50,8 @@
         """Return the current state, for reading."""
         return self._state
 
-    def dispatch(self, event: Event) -> None:
-        """Reduce one event, log its changes, and deliver its effects."""
+    def dispatch(self, event: Event) -> tuple[Effect, ...]:
+        """Reduce one event, log its changes, and deliver and return its effects."""
         before = self._state
         self._state, effects = direct.reduce(before, event)
         for line in log_lines(event, before, self._state, effects):
@@ -59,6 +61,7 @@
                 self._metrics.observe_request(int(line.fields["after_ms"]))
         for effect in effects:
             self._deliver_effect(effect)
+        return effects
 
     def record_answer(
         self, upstream: Upstream, fields: AnswerFields, sent_ms: int | None = None
@@ -109,5 +112,7 @@
                 ticket = request.ticket
             case Refuse(ticket) | DeliverFailure(ticket):
                 pass
+            case Hedge() | CancelAttempt():
+                return  # the greenlet that has dispatched the event performs them
         if ticket in self._steps:
             self._steps[ticket].set(effect)
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -272,6 +272,40 @@
         "Correct the value that the upstream sends: requests per second as a decimal.",
         ("upstream", "value"),
     ),
+    EventKind(
+        2042,
+        "hedge-sent",
+        Level.INFO,
+        "The answer of 'first' has not begun for longer than usual; the request was "
+        "sent to a second upstream, and the first answer counts.",
+        NO_REMEDY,
+        ("upstream", "first", "service", "after_ms", "hedges", "allowed"),
+    ),
+    EventKind(
+        2043,
+        "hedge-won",
+        Level.INFO,
+        "The second upstream of a request answered first.",
+        "If one upstream often loses as the first of hedge-sent lines, check it.",
+        ("upstream", "after_ms", "first_after_ms"),
+    ),
+    EventKind(
+        2044,
+        "attempt-cancelled",
+        Level.INFO,
+        "The other attempt of the request was answered; the connection of this one "
+        "was closed.",
+        NO_REMEDY,
+        ("upstream",),
+    ),
+    EventKind(
+        2045,
+        "hedge-withheld",
+        Level.INFO,
+        "A slow request was not sent a second time, for the reason in this line.",
+        "If 'limit' is frequent, consider a higher hedge.max_share.",
+        ("service", "reason"),
+    ),
     EventKind(
         2101,
         "request-sent",
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
     jobs: int = 1,
     steps: int = STEPS,
     entries: int = ENTRIES,
+    hedge_share: float = 0.0,
 ) -> int:
     """Run seeds one after the other, or several at once; print each result.
 
@@ -25,15 +26,17 @@
     :param jobs: number of seeds to run at once, each in its own process
     :param steps: number of faults for each seed
     :param entries: number of entry processes for each seed
+    :param hedge_share: the limit on second attempts of slow requests, 0 for none
     """
     numbers = iter(range(first, first + seeds))
     if jobs > 1:
         options = ["--steps", str(steps), "--entries", str(entries)]
+        options += ["--hedge-share", str(hedge_share)]
         codes: list[int] = []
         while batch := list(islice(numbers, jobs)):
             codes += _run_parallel(batch, options)
         return max(codes)
-    return max(_run_one(number, steps, entries) for number in numbers)
+    return max(_run_one(number, steps, entries, hedge_share) for number in numbers)
 
 
 def _run_parallel(batch: list[int], options: list[str]) -> list[int]:
@@ -46,8 +49,8 @@
     return [process.wait() for process in started]
 
 
-def _run_one(seed: int, steps: int, entries: int) -> int:
-    outcome = run(seed, steps=steps, entries=entries)
+def _run_one(seed: int, steps: int, entries: int, hedge_share: float) -> int:
+    outcome = run(seed, steps=steps, entries=entries, hedge_share=hedge_share)
     total = sum(outcome.statuses.values())
     served = sum(n for name, n in outcome.statuses.items() if name.endswith(" 200"))
     verdict = "broken" if outcome.violations else "kept"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -54,7 +54,9 @@
     statuses: Counter[str]
 
 
-def run(seed: int, *, steps: int = STEPS, entries: int = ENTRIES) -> Outcome:
+def run(
+    seed: int, *, steps: int = STEPS, entries: int = ENTRIES, hedge_share: float = 0.0
+) -> Outcome:
     """Run one seed to its end and return the outcome."""
     planned = (
         *plan(seed, steps, DURATION_S),
@@ -63,14 +65,20 @@
         *plan_restarts(seed, entries, DURATION_S),
         *plan_limits(seed, steps // LIMIT_INTERVAL),
     )
-    return run_steps(seed, planned, entries=entries)
+    return run_steps(seed, planned, entries=entries, hedge_share=hedge_share)
 
 
-def run_steps(seed: int, steps: tuple[Step, ...], *, entries: int = ENTRIES) -> Outcome:
+def run_steps(
+    seed: int,
+    steps: tuple[Step, ...],
+    *,
+    entries: int = ENTRIES,
+    hedge_share: float = 0.0,
+) -> Outcome:
     """Run the given steps with the callers of a seed."""
     schedule = tuple(sorted(steps))
     with tempfile.TemporaryDirectory() as folder:
-        site = SoakSite(pathlib.Path(folder), entries)
+        site = SoakSite(pathlib.Path(folder), entries, hedge_share)
         try:
             outcome = _run_schedule(seed, schedule, site)
         finally:
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -36,7 +36,9 @@
 class SoakSite:
     """Entries, runners and a store on which the steps of a schedule run."""
 
-    def __init__(self, folder: pathlib.Path, entries: int = ENTRIES) -> None:
+    def __init__(
+        self, folder: pathlib.Path, entries: int = ENTRIES, hedge_share: float = 0.0
+    ) -> None:
         self.store = StoreServer()
         self._versions = count(1)
         self._birth_numbers = count(1)
@@ -62,6 +64,7 @@
                 peers_port=self._peers_port.getsockname()[1],
                 seeds=ips[:3],
                 retries=RETRIES,
+                hedge_share=hedge_share,
             )
             for ip, link in zip(ips, stores, strict=True)
         ]
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -12,11 +12,14 @@
 from nutmegslip_decisions.direct import (
     AttemptFailed,
     Broken,
+    CancelAttempt,
     ConfigurationPublished,
     Declined,
     DeliverFailure,
     Errored,
     GroupRank,
+    Hedge,
+    HedgeDue,
     ListingRead,
     NotSent,
     Options,
@@ -51,6 +54,8 @@
     budget_slack=10.0,
     cold_multiplier=1.5,
     cold_slack=5.0,
+    hedge_max_share=0.9,
+    hedge_after_quantile=0.5,
 )
 PATHS = ("/lookups/1", "/pushes/1", "/drafts/1", "/verses/1")
 FAILURES = (
@@ -86,7 +91,9 @@
         self.answered = set()
         self.cold_sends = defaultdict(list)
         self.arrived_ms = defaultdict(list)
+        self.entry_arrivals = defaultdict(list)
         self.retried_ms = defaultdict(list)
+        self.hedged_ms = defaultdict(list)
         self.listed = {item.id: item for item in UPSTREAMS}
         self.out = frozenset()
         self.births = count(1)
@@ -103,7 +110,7 @@
 
     def _check_effect(self, number, effect):
         match effect:
-            case Send(request, to):
+            case Send(request, to) | Hedge(request, to):
                 request_key = (number, request.ticket)
                 assert request_key not in self.answered, (
                     f"{request_key} sent after its answer"
@@ -121,15 +128,28 @@
                 assert request.deadline_ms > self.now_ms
                 if request_key in self.may_have_run:
                     assert request.route.kind is not RequestKind.NON_IDEMPOTENT
-                if self.sends[request_key]:
+                running = self._attempts(number, request.ticket)
+                if isinstance(effect, Hedge):
+                    self.hedged_ms[number, request.service].append(self.now_ms)
+                    assert len(running) == 1
+                    assert not self.worlds[number].state.waiting.get(request.service)
+                    assert request.route.kind is not RequestKind.NON_IDEMPOTENT
+                    assert to.rank is None, "the only group has the first attempt"
+                else:
+                    assert not running
+                if self.sends[request_key] or isinstance(effect, Hedge):
                     self.retried_ms[request.service].append(self.now_ms)
                 self.sends[request_key] += 1
+                assert self.sends[request_key] <= request.route.attempts
                 assert to.id not in request.tried - {to.id}
-                self.in_flight[number][request.ticket] = request
+                self.in_flight[number][request.ticket, to.id] = request
                 if request.service == "model":
                     self.cold_sends[to.id].append(self.now_ms)
+            case CancelAttempt(ticket, upstream_id):
+                del self.in_flight[number][ticket, upstream_id]
             case Refuse(ticket, _, ran, retry_after_ms):
                 request_key = (number, ticket)
+                assert not self._attempts(number, ticket)
                 assert request_key not in self.answered, f"{request_key} answered twice"
                 if request_key in self.may_have_run:
                     assert ran, (
@@ -139,13 +159,16 @@
                     assert retry_after_ms > 0
                 self.answered.add(request_key)
             case DeliverFailure(ticket):
+                assert not self._attempts(number, ticket)
                 self.answered.add((number, ticket))
 
     @rule(number=st.integers(0, ENTRIES - 1), path=st.sampled_from(PATHS))
     def arrive(self, number, path):
         world = self.worlds[number]
         world.now_ms = self.now_ms
-        self.arrived_ms["model" if "verses" in path else "board"].append(self.now_ms)
+        service = "model" if "verses" in path else "board"
+        self.arrived_ms[service].append(self.now_ms)
+        self.entry_arrivals[number, service].append(self.now_ms)
         for effect in world.arrive(path, request_id=f"{number}-{world.tickets + 1}"):
             self._check_effect(number, effect)
 
@@ -154,6 +177,15 @@
         for _ in range(count):
             self.arrive(number, "/verses/1")
 
+    @rule(number=st.integers(0, ENTRIES - 1), count=st.integers(1, 3))
+    def arrive_slow(self, number, count):
+        """Requests arrive whose answers take most of their time."""
+        for _ in range(count):
+            self.arrive(number, "/lookups/1")
+        self.wait(600)
+        for ticket, _ in sorted(self.in_flight[number]):
+            self._take(number, HedgeDue(self.now_ms, ticket))
+
     @rule(
         number=st.integers(0, ENTRIES - 1),
         failure=st.sampled_from(FAILURES),
@@ -168,14 +200,25 @@
         if isinstance(failure, NotSent):
             # Such a send reaches no upstream and counts towards no limit.
             self.sends[(number, request.ticket)] -= 1
-        self._take(number, AttemptFailed(self.now_ms, request.ticket, failure))
+        failed = AttemptFailed(
+            self.now_ms, request.ticket, failure, upstream=request.upstream
+        )
+        self._take(number, failed)
 
     @rule(number=st.integers(0, ENTRIES - 1), pick=st.integers(0, 99))
     def begin(self, number, pick):
         if self.in_flight[number]:
-            tickets = sorted(self.in_flight[number])
-            ticket = tickets[pick % len(tickets)]
-            self._take(number, ResponseStarted(self.now_ms, ticket))
+            attempts = sorted(self.in_flight[number])
+            attempt = attempts[pick % len(attempts)]
+            self._take(number, ResponseStarted(self.now_ms, *attempt))
+            assert len(self._attempts(number, attempt[0])) == 1
+
+    @rule(number=st.integers(0, ENTRIES - 1), pick=st.integers(0, 99))
+    def hedge_when_due(self, number, pick):
+        if self.in_flight[number]:
+            attempts = sorted(self.in_flight[number])
+            ticket, _ = attempts[pick % len(attempts)]
+            self._take(number, HedgeDue(self.now_ms, ticket))
 
     @rule(
         number=st.integers(0, ENTRIES - 1),
@@ -186,6 +229,8 @@
         request = self._pick(number, pick)
         if request is not None:
             self.answered.add((number, request.ticket))
+            for attempt in self._attempts(number, request.ticket):
+                del self.in_flight[number][request.ticket, attempt.upstream]
             self._take(number, RequestEnded(self.now_ms, request.ticket, answered))
 
     @rule(step_ms=st.sampled_from((1, 40, 300, 1_100, 5_000)))
@@ -322,13 +367,18 @@
         self._take(number, PaceMeasured(self.now_ms, "model", "", gap_ms))
 
     def _pick(self, number, pick):
-        tickets = sorted(self.in_flight[number])
+        attempts = sorted(self.in_flight[number])
         return (
-            self.in_flight[number].pop(tickets[pick % len(tickets)])
-            if tickets
+            self.in_flight[number].pop(attempts[pick % len(attempts)])
+            if attempts
             else None
         )
 
+    def _attempts(self, number, ticket):
+        """Return the attempts of a request that are in flight."""
+        found = self.in_flight[number].items()
+        return [request for (known, _), request in found if known == ticket]
+
     @invariant()
     def cold_bound_holds(self):
         for sent in self.cold_sends.values():
@@ -358,14 +408,28 @@
             arrivals = len(self.arrived_ms[service])
             assert len(retried_ms) <= 0.2 * arrivals + 10.0 + 10.0 * spans
 
+    @invariant()
+    def hedges_stay_within_their_share(self):
+        for key, hedged_ms in self.hedged_ms.items():
+            assert len(hedged_ms) <= OPTIONS.hedge_max_share * len(
+                self.entry_arrivals[key]
+            )
+            for from_ms in hedged_ms:
+                hedges = _count_window(hedged_ms, from_ms)
+                earned = _count_window(self.entry_arrivals[key], from_ms - 10_000)
+                earned += _count_window(self.entry_arrivals[key], from_ms)
+                assert hedges <= OPTIONS.hedge_max_share * earned
+
     @invariant()
     def every_request_is_queued_or_in_flight(self):
         for number, world in enumerate(self.worlds):
             waiting = {t for queue in world.state.waiting.values() for t in queue}
             known = set(world.state.requests)
-            assert waiting | set(self.in_flight[number]) == known
-            taken = sum(s.in_flight for s in world.state.upstream_stats.values())
-            assert taken == len(self.in_flight[number])
+            tickets = {ticket for ticket, _ in self.in_flight[number]}
+            assert not waiting & tickets
+            assert waiting | tickets == known
+            taken = Counter(upstream_id for _, upstream_id in self.in_flight[number])
+            assert load_report(world.state) == taken
 
 
 FleetTests = Fleet.TestCase
--- a/tests/test_direct_log_lines.py
+++ b/tests/test_direct_log_lines.py
@@ -15,6 +15,7 @@
     Declined,
     Errored,
     GroupRank,
+    HedgeDue,
     NotSent,
     Options,
     PaceMeasured,
@@ -126,6 +127,28 @@
         self.assertNotIn((2, "request-retried"), found)
         self.assertTrue(found[2, "request-refused"]["retries_spent"])
 
+    def test_a_hedge_its_outcome_and_a_withheld_one_are_logged(self):
+        options = Options("e", budget_slack=100.0, hedge_max_share=0.4)
+        upstreams = (upstream(name, slots=9) for name in ("u1", "u2"))
+        self.world = World(*upstreams, options=options)
+        self._arrive(1)
+        self._arrive(2, "/lookups/1")
+        now_ms = self.world.now_ms
+        self.assertEqual(self._lines(HedgeDue(now_ms + 10, 2)), [])
+        withheld = self._lines(HedgeDue(now_ms + 300, 2))
+        self.assertEqual(withheld, [("hedge-withheld", "r2")])
+        self._arrive(3)
+        sent = self._lines(HedgeDue(now_ms + 600, 2))
+        self.assertEqual(sent, [("hedge-sent", "r2")])
+        second = self.world.state.requests[2].hedge.upstream
+        metrics = Metrics()
+        metrics.update_gauges(self.world.state, 0, now_ms)
+        read = partial(metrics.registry.get_sample_value, labels={"service": "board"})
+        self.assertEqual(read("nutmegslip_hedges"), 1)
+        self.assertEqual(read("nutmegslip_hedges_allowed"), 0.4 * 3)
+        won = self._lines(ResponseStarted(now_ms + 700, 2, second))
+        self.assertEqual(won, [("hedge-won", "r2"), ("attempt-cancelled", "r2")])
+
     def test_metrics_show_the_retry_budget(self):
         world = self.world = World(upstream("u1"), upstream("u2"))
         self._arrive(1, "/lookups/1")
