Predict the pace of a group from its streams in flight, and share it

Cause: each entry stepped its own share of open slots after the mean gap of its own streams, to 0.75 of the bound. A group of 72 carries more: all its streams see the same gaps, and these follow 23 ms + 0.25 to 0.45 ms for each stream in flight.

Now: the limit is where published time of an empty pass + measured time for each stream x streams reaches 0.9 of the bound; a 0.9 quantile of gaps, the median of three samples; entries report what they measure, and one without a measurement takes the median of the others.

The known failure counts sends of all events now: a queued stream is sent by a report. test_malformed_limits names the item by its place, as more items follow.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -43,6 +43,7 @@
 )
 from nutmegslip_decisions.direct._named_limits import limit_report
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._pace import open_share, pace_report
 from nutmegslip_decisions.direct._part_evidence import Blame, Crash, PartReport
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
@@ -63,6 +64,8 @@
     ExpertLayout,
     GroupRank,
     NamedLimit,
+    PaceReport,
+    PaceReports,
     Request,
     RequestKind,
     RequestLimits,
@@ -101,6 +104,8 @@
     "Options",
     "OptionsChanged",
     "PaceMeasured",
+    "PaceReport",
+    "PaceReports",
     "PartReport",
     "PeerReported",
     "Process",
@@ -142,6 +147,8 @@
     "limit_report",
     "load_report",
     "next_tenure",
+    "open_share",
+    "pace_report",
     "part_report",
     "reduce",
     "retry_budget",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -18,6 +18,7 @@
 
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._groups import is_usable
+from nutmegslip_decisions.direct._pace import open_slots
 from nutmegslip_decisions.direct._state import State, UpstreamStats
 from nutmegslip_decisions.direct._types import Request, Upstream
 from nutmegslip_decisions.direct._upstream_shares import (
@@ -127,11 +128,11 @@
             continue
         if has_credit(state, stats, share, now_ms):
             candidates.append(Candidate(upstream, in_flight, share is not None))
-    open_slots = {
-        group: count * load.open_shares.get(group, 1.0)
+    open_counts = {
+        group: open_slots(state, service, group, count, now_ms)
         for group, count in slots.items()
     }
-    free_groups = {group for group, count in open_slots.items() if taken[group] < count}
+    free_groups = {g for g, count in open_counts.items() if taken[g] < count}
     return Capacity(
         tuple(
             candidate
@@ -139,7 +140,7 @@
             if candidate.upstream.group in free_groups
         ),
         sum(
-            count * load.open_shares.get(group, 1.0)
+            count * open_counts[group] / slots[group]
             for group, count in busy_slots.items()
         ),
         min(pauses, default=None),
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -11,6 +11,7 @@
     CallerRequest,
     Configuration,
     NamedLimit,
+    PaceReports,
     Request,
     SpendingReport,
     Standing,
@@ -22,6 +23,7 @@
 _NO_STANDING = Standing()
 _NO_SPENDING = SpendingReport()
 _NO_LIMITS: Map[str, NamedLimit] = Map()
+_NO_PACES: PaceReports = Map()
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +152,7 @@
     standing: Standing = _NO_STANDING
     spending: SpendingReport = _NO_SPENDING
     limits: Map[str, NamedLimit] = _NO_LIMITS
+    paces: PaceReports = _NO_PACES
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,9 +227,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceMeasured:
-    """The mean gap between events of a service's streams was measured.
+    """The gaps between events of a service's streams were measured.
 
     ``group`` is the group that serves them, empty for upstreams without a group.
+    ``gap_ms`` is a high quantile of them, since one long gap makes a stream late.
     """
 
     now_ms: Millis
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
@@ -1,38 +1,100 @@
-"""Limit the open slots of lock-step groups to bound the event gaps of streams.
-
-Answers the load pattern in which more streams than a group can serve on time fill
-every slot: a forward pass takes longer with more streams in flight, until the gaps
-of all streams exceed the route's bound. Closing a few slots keeps the other streams
-on time. Each group has its own share of open slots, since a slow rank or a poor
-expert map slows only the streams of its group. A group that is too slow to complete
-an answer within the deadline gets only a few requests as probes.
+"""Limit the streams of lock-step groups to bound the event gaps of all of them.
+
+Answers the load pattern in which more streams arrive than a group can serve on time: a
+forward pass takes longer with each stream in flight, until the gaps of all streams
+exceed the route's bound. The gap is predicted as the published time of an empty pass
+and a measured time for each stream in flight over all entries, so that a burst meets a
+limit that was known before it came. Entries tell each other what they measure; one
+that has just started, or has no stream in a group, takes the limit of the others. A
+group that is too slow to complete an answer within the deadline gets only a few
+requests as probes.
 """
 
+from statistics import median
+
+from immutables import Map
+
 from nutmegslip_decisions.direct._budget import load_of
-from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._state import GapSample, GroupPace, State
+from nutmegslip_decisions.direct._types import PaceReport, PaceReports
+from nutmegslip_decisions.model import Millis
 
-TARGET_SHARE = 0.75  # of the bound; a pass takes up to a third longer than the mean
-GAIN = 0.5  # pass time grows with about the square root of streams in flight
+TARGET_SHARE = 0.9  # of the bound; reports are late by up to a pass
 MIN_SHARE = 0.5  # below it the ranks' fixed cost per pass outweighs the gain
 MAX_GAP_RATIO = 2.5  # times the bound; 25 events then take the 8 s that callers wait
 PROBE_SHARE = 0.05  # of slots, to detect that a group beyond the ratio has recovered
+SAMPLES = 3  # their median ignores the one gap in which a pass was held
+RISE_SHARE = 0.5  # weight of a slower sample; a faster one counts by a stream's time
+LIFETIME_MS = 2_000  # of a measurement, without a stream of this entry in the group
+FREE_SHARE = 0.5  # of a gap; pass time grows with about the square root of streams
 
 
-def with_pace(state: State, service: str, group: str, gap_ms: float) -> State:
-    """Open or close slots of a group by its measured mean event gap."""
-    bound_ms = gap_bound_ms(state, service)
-    if not bound_ms:
+def with_pace(
+    state: State, service: str, group: str, gap_ms: float, now_ms: Millis
+) -> State:
+    """Measure how a group's event gaps, in ms, grow with its streams in flight."""
+    if not gap_bound_ms(state, service):
         return state
     load = load_of(state, service)
-    target_ms = TARGET_SHARE * bound_ms
-    change = GAIN * (target_ms - gap_ms) / target_ms
-    min_share = PROBE_SHARE if gap_ms > MAX_GAP_RATIO * bound_ms else MIN_SHARE
-    share = load.open_shares.get(group, 1.0) * (1 + change)
-    share = min(max(share, min_share), 1.0)
-    changed = load._replace(open_shares=load.open_shares.set(group, share))
+    known = load.paces.get(group)
+    sample = GapSample(gap_ms, _in_flight(state, service, group))
+    samples = (*(known.samples if known else ()), sample)[-SAMPLES:]
+    middle = sorted(samples)[(len(samples) - 1) // 2]
+    slots = _slots(state, service, group)
+    measured_ms = _per_stream_ms(state, service, middle, slots)
+    if known is None:
+        per_stream_ms = measured_ms
+    elif measured_ms > known.per_stream_ms:
+        change_ms = measured_ms - known.per_stream_ms
+        per_stream_ms = known.per_stream_ms + RISE_SHARE * change_ms
+    else:
+        elapsed_ms = now_ms - known.measured_ms
+        share = min(elapsed_ms / max(load.hold_ms, 1.0), 1.0)
+        per_stream_ms = known.per_stream_ms
+        per_stream_ms += share * (measured_ms - per_stream_ms)
+    pace = GroupPace(samples, per_stream_ms, middle.gap_ms, now_ms)
+    changed = load._replace(paces=load.paces.set(group, pace))
     return state._replace(loads=state.loads.set(service, changed))
 
 
+def open_slots(
+    state: State, service: str, group: str, slots: int, now_ms: Millis
+) -> float:
+    """Return how many of a group's slots may be taken by all entries together."""
+    bound_ms = gap_bound_ms(state, service)
+    pace = _current_pace(state, service, group, now_ms) if bound_ms else None
+    if pace is None:
+        return slots
+    if pace.gap_ms > MAX_GAP_RATIO * bound_ms:
+        return PROBE_SHARE * slots
+    free_ms = _free_ms(state, service, pace.gap_ms)
+    limit = (TARGET_SHARE * bound_ms - free_ms) / max(pace.per_stream_ms, 0.001)
+    return min(max(limit, MIN_SHARE * slots), slots)
+
+
+def open_share(state: State, service: str, group: str, now_ms: Millis) -> float:
+    """Return the share of a group's slots that may be taken."""
+    slots = _slots(state, service, group)
+    return open_slots(state, service, group, slots, now_ms) / slots if slots else 1.0
+
+
+def pace_report(state: State, now_ms: Millis) -> PaceReports:
+    """Return what this entry itself measures, by service and group."""
+    return Map(
+        {
+            service: Map(
+                {
+                    group: PaceReport(round(pace.per_stream_ms, 2), round(pace.gap_ms))
+                    for group, pace in load.paces.items()
+                    if _is_current(state, service, group, pace, now_ms)
+                }
+            )
+            for service, load in state.loads.items()
+            if load.paces
+        }
+    )
+
+
 def gap_bound_ms(state: State, service: str) -> int:
     """Return the lowest event gap bound of a service's routes, 0 for none."""
     routes = state.configuration.routes if state.configuration else ()
@@ -42,3 +104,67 @@
         if route.gap_ms and any(target.service == service for target in route.targets)
     )
     return min(bounds, default=0)
+
+
+def _current_pace(
+    state: State, service: str, group: str, now_ms: Millis
+) -> PaceReport | None:
+    """Return the own measurement, or the median of the others' without one."""
+    own = load_of(state, service).paces.get(group)
+    if own is not None and _is_current(state, service, group, own, now_ms):
+        return PaceReport(own.per_stream_ms, own.gap_ms)
+    reported = [
+        peer.paces[service][group]
+        for peer in state.peers.values()
+        if group in peer.paces.get(service, ())
+    ]
+    if not reported:
+        return None
+    return PaceReport(
+        median(pace.per_stream_ms for pace in reported),
+        median(pace.gap_ms for pace in reported),
+    )
+
+
+def _is_current(
+    state: State, service: str, group: str, pace: GroupPace, now_ms: Millis
+) -> bool:
+    """Return whether a measurement holds; a slow stream may show no gap for long."""
+    if pace.measured_ms + LIFETIME_MS > now_ms:
+        return True
+    return any(
+        state.stats_of(upstream_id).in_flight
+        for upstream_id in state.by_service.get(service, ())
+        if state.upstreams[upstream_id].group == group
+    )
+
+
+def _per_stream_ms(state: State, service: str, sample: GapSample, slots: int) -> float:
+    """Return what a stream adds to a gap; few streams tell little of many."""
+    free_ms = _free_ms(state, service, sample.gap_ms)
+    return (sample.gap_ms - free_ms) / max(sample.in_flight, MIN_SHARE * slots, 1)
+
+
+def _free_ms(state: State, service: str, gap_ms: float) -> float:
+    """Return the part of a gap that does not depend on the streams in flight."""
+    found = state.configuration.services.get(service) if state.configuration else None
+    engine = found.engine if found else None
+    if engine is None or not engine.pass_steps:
+        return FREE_SHARE * gap_ms
+    return min(engine.step_ms * engine.pass_steps, gap_ms)
+
+
+def _slots(state: State, service: str, group: str) -> int:
+    return sum(
+        state.upstreams[upstream_id].slots
+        for upstream_id in state.by_service.get(service, ())
+        if state.upstreams[upstream_id].group == group
+    )
+
+
+def _in_flight(state: State, service: str, group: str) -> int:
+    return sum(
+        state.stats_of(upstream_id).in_flight + state.peer_in_flight.get(upstream_id, 0)
+        for upstream_id in state.by_service.get(service, ())
+        if state.upstreams[upstream_id].group == group
+    )
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -43,6 +43,9 @@
         if report.received_ms + STALE_AFTER_MS > now_ms:
             continue
         state = with_silent_peer(state, peer, report)
+        if report.paces:
+            report = report._replace(paces=Map())
+            state = state._replace(peers=state.peers.set(peer, report))
         if report.in_flight:
             state = state._replace(
                 peers=state.peers.set(peer, report._replace(in_flight=Map())),
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -85,7 +85,7 @@
         case ResponseStarted(now_ms, ticket):
             return record_start(state, ticket, now_ms), ()
         case PaceMeasured(now_ms, service, group, gap_ms):
-            paced = with_pace(state, service, group, gap_ms)
+            paced = with_pace(state, service, group, gap_ms, now_ms)
             return dispatch(paced, service, now_ms)
         case RequestEnded(now_ms, ticket, answered):
             if ticket in state.unadmitted:
@@ -95,7 +95,9 @@
             return _tick(state, now_ms)
         case PeerReported(now_ms, peer, in_flight, parts, standing, spending, limits):
             old = state.peers.get(peer)
-            report = PeerReport(now_ms, in_flight, parts, standing, spending)
+            report = PeerReport(
+                now_ms, in_flight, parts, standing, spending, event.paces
+            )
             state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -12,6 +12,7 @@
     Configuration,
     EndedProcess,
     NamedLimit,
+    PaceReports,
     Request,
     SpendingReport,
     Standing,
@@ -53,6 +54,7 @@
     parts: PartReport = PartReport()
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
+    paces: PaceReports = Map()
 
 
 class Process(NamedTuple):
@@ -63,13 +65,32 @@
     is_first: bool = True
 
 
+class GapSample(NamedTuple):
+    """A high quantile of event gaps, and the streams that were then in flight."""
+
+    gap_ms: float
+    in_flight: int
+
+
+class GroupPace(NamedTuple):
+    """How the event gaps of a group grow with its streams in flight.
+
+    ``per_stream_ms`` is what each stream adds to the gaps of all; ``gap_ms`` is the
+    median of the last samples.
+    """
+
+    samples: tuple[GapSample, ...]
+    per_stream_ms: float
+    gap_ms: float
+    measured_ms: Millis
+
+
 class ServiceLoad(NamedTuple):
     """Load of a service, measured from this entry's own requests.
 
     ``hold_ms`` is the mean time that a request holds a slot, ``start_ms`` the mean
     time to the first part of an answer. ``answered_ms`` is when an answer last began.
-    ``open_shares`` is the share of slots that are open, by group; groups that are not
-    in it have all slots open.
+    ``paces`` are measured by group; groups that are not in it have all slots open.
     """
 
     arrivals: Window
@@ -77,7 +98,7 @@
     hold_ms: float
     start_ms: float
     answered_ms: Millis = 0
-    open_shares: Map[str, float] = Map()
+    paces: Map[str, GroupPace] = Map()
 
 
 class GroupSuspicion(NamedTuple):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -79,6 +79,7 @@
     """The published cost model of an engine.
 
     ``prompt_tokens`` and ``answer_tokens`` are the published means of a request.
+    ``pass_steps`` is the count of steps in a pass with answers, 0 if unknown.
     """
 
     slots: int
@@ -91,6 +92,7 @@
     prompt_tokens: int
     answer_tokens: int
     layout: ExpertLayout | None = None
+    pass_steps: int = 0
 
 
 class Service(NamedTuple):
@@ -212,6 +214,19 @@
     ended: Map[int, EndedProcess] = Map()
 
 
+class PaceReport(NamedTuple):
+    """What an entry measures of a group's event gaps.
+
+    ``per_stream_ms`` is what each stream in flight adds to the gaps of all.
+    """
+
+    per_stream_ms: float
+    gap_ms: float
+
+
+PaceReports = Map[str, Map[str, PaceReport]]  # by service and group
+
+
 class CallerRequest(NamedTuple):
     """A request as received from a caller, before admission.
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -32,6 +32,7 @@
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
+    open_share,
     retry_budget,
 )
 
@@ -114,8 +115,8 @@
                         "fingerprint": request.fingerprint,
                     },
                 )
-        case PaceMeasured(_, service, group, gap_ms):
-            yield from _slot_lines(before, after, service, group, gap_ms)
+        case PaceMeasured():
+            yield from _slot_lines(before, after, event)
         case RequestEnded(_, ticket, answered):
             request = before.requests.get(ticket)
             if request is not None:
@@ -142,29 +143,26 @@
     return max(state.stats_of(request.upstream).avoid_until_ms - now_ms, 0)
 
 
-def _slot_lines(
-    before: State, after: State, service: str, group: str, gap_ms: float
-) -> Iterator[LogLine]:
+def _slot_lines(before: State, after: State, event: PaceMeasured) -> Iterator[LogLine]:
     """Yield a line if the open share, rounded to tenths, changed.
 
     Smaller changes occur four times a second.
     """
-    old, new = (_open_tenths(state, service, group) for state in (before, after))
+    service, group = event.service, event.group
+    old, new = (
+        round(10 * open_share(state, service, group, event.now_ms))
+        for state in (before, after)
+    )
     if old != new:
         yield _log_line(
             "slots-opened" if new > old else "slots-closed",
             service=service,
             group=group,
             open_share=new / 10,
-            gap_ms=round(gap_ms),
+            gap_ms=round(event.gap_ms),
         )
 
 
-def _open_tenths(state: State, service: str, group: str) -> int:
-    load = state.loads.get(service)
-    return round(10 * load.open_shares.get(group, 1.0)) if load else 10
-
-
 def _suspicion_lines(before: State, after: State) -> Iterator[LogLine]:
     if before.suspicions is after.suspicions:
         return
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from nutmegslip_decisions.direct import State, retry_budget
+from nutmegslip_decisions.direct import State, open_share, retry_budget
 from nutmegslip_decisions.model import Millis
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
@@ -57,6 +57,12 @@
             "Upstreams that name a limit on the requests that they take.",
             registry=self.registry,
         )
+        self._open_slots_share = Gauge(
+            "nutmegslip_open_slots_share",
+            "Share of a group's slots that event gaps allow to take.",
+            ["service", "group"],
+            registry=self.registry,
+        )
         self._blamed_parts = Gauge(
             "nutmegslip_blamed_parts",
             "Prompt parts that crash upstreams; requests with them are refused.",
@@ -81,7 +87,10 @@
         self._blamed_parts.set(len(state.parts.blames))
         limits = state.named_limits.values()
         self._limited_upstreams.set(sum(limit.per_s is not None for limit in limits))
-        for service in state.loads:
+        for service, load in state.loads.items():
+            for group in load.paces:
+                share = open_share(state, service, group, now_ms)
+                self._open_slots_share.labels(service, group).set(share)
             budget = retry_budget(state, service, now_ms)
             self._retries.labels(service).set(budget.retries)
             self._retries_allowed.labels(service).set(budget.allowed)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -16,6 +16,7 @@
     Standing,
     limit_report,
     load_report,
+    pace_report,
     part_report,
     spending_report,
 )
@@ -84,6 +85,7 @@
                 report.standing,
                 report.spending,
                 report.limits,
+                report.paces,
             )
         )
 
@@ -97,7 +99,9 @@
             standing = self._standing()
             spending = spending_report(state, now_ms)
             limits = limit_report(state, now_ms)
-            current = load_report(state), part_report(state), standing, spending, limits
+            paces = pace_report(state, now_ms)
+            loads = load_report(state), part_report(state)
+            current = *loads, standing, spending, limits, paces
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
@@ -110,6 +114,7 @@
                 standing,
                 spending,
                 limits,
+                paces,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -15,6 +15,8 @@
     Crash,
     EndedProcess,
     NamedLimit,
+    PaceReport,
+    PaceReports,
     PartReport,
     SpendingReport,
     Standing,
@@ -35,6 +37,7 @@
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
     limits: Map[str, NamedLimit] = Map()
+    paces: PaceReports = Map()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -65,7 +68,11 @@
     places = {
         part: [crash.place for crash in found] for part, found in parts.crashes.items()
     }
-    return cbor2.dumps([*encoded, fields, spending, limits, places])
+    paces = {
+        service: {group: list(pace) for group, pace in groups.items()}
+        for service, groups in report.paces.items()
+    }
+    return cbor2.dumps([*encoded, fields, spending, limits, places, paces])
 
 
 def _encode_spending(spending: SpendingReport, now_ms: Millis) -> list:
@@ -90,6 +97,7 @@
             Standing(bool(leads), bool(may_lead), int(fence)),
             _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
             _decode_limits(more[3], now_ms) if more[3:] else Map(),
+            _decode_paces(more[5]) if more[5:] else Map(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -166,5 +174,19 @@
     )
 
 
+def _decode_paces(paces: dict) -> PaceReports:
+    return Map(
+        {
+            str(service): Map(
+                {
+                    str(group): PaceReport(float(per_stream_ms), float(gap_ms))
+                    for group, (per_stream_ms, gap_ms) in groups.items()
+                }
+            )
+            for service, groups in paces.items()
+        }
+    )
+
+
 def _decode_retries(retries: dict) -> Map[str, int]:
     return Map({str(service): int(count) for service, count in retries.items()})
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -1,5 +1,6 @@
 """Run the reducer and deliver to each request its next step."""
 
+from collections import defaultdict
 from collections.abc import Callable
 
 from gevent.event import AsyncResult
@@ -22,6 +23,8 @@
 from nutmegslip_entry.direct._metrics import Metrics
 from nutmegslip_runtime.eventlog import RateLimitedLog
 
+GAP_QUANTILE = 0.9  # of the gaps between two measurements; the longest may be a retry's
+
 _FIRST_PROCESS = direct.Process()
 
 
@@ -38,7 +41,7 @@
     ) -> None:
         self._state = direct.State(options, process)
         self._steps: dict[int, AsyncResult] = {}
-        self._gaps: dict[tuple[str, str], tuple[int, int]] = {}
+        self._gaps: defaultdict[tuple[str, str], list[int]] = defaultdict(list)
         self._log = log
         self._metrics = metrics
         self.clock = clock
@@ -84,15 +87,14 @@
 
     def record_gap(self, upstream: Upstream, gap_ms: int) -> None:
         """Record one gap between stream events for the next ``dispatch_paces``."""
-        key = (upstream.service, upstream.group)
-        total, count = self._gaps.get(key, (0, 0))
-        self._gaps[key] = (total + gap_ms, count + 1)
+        self._gaps[upstream.service, upstream.group].append(gap_ms)
 
     def dispatch_paces(self) -> None:
-        """Dispatch the mean gap of each group since the last call."""
-        gaps, self._gaps = self._gaps, {}
-        for (service, group), (total, count) in gaps.items():
-            self.dispatch(PaceMeasured(self.clock(), service, group, total / count))
+        """Dispatch a high quantile of the gaps of each group since the last call."""
+        measured, self._gaps = self._gaps, defaultdict(list)
+        for (service, group), gaps in measured.items():
+            gap_ms = sorted(gaps)[int(GAP_QUANTILE * len(gaps))]
+            self.dispatch(PaceMeasured(self.clock(), service, group, gap_ms))
 
     def dispatch_and_wait(self, ticket: int, event: Event) -> Effect:
         """Dispatch an event of a request and return the request's next step."""
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -32,6 +32,7 @@
     UpstreamPublished,
     UpstreamRemoved,
     ZonesOut,
+    open_share,
 )
 from nutmegslip_decisions.direct._peers import STALE_AFTER_MS
 from nutmegslip_decisions.direct._starting import MAX_START_WAIT_MS
@@ -404,7 +405,7 @@
         for _ in range(20):
             world.now_ms += 250
             world.take(PaceMeasured(world.now_ms, "model", "", 60.0))
-        self.assertEqual(world.state.loads["model"].open_shares[""], 1.0)
+        self.assertEqual(open_share(world.state, "model", "", world.now_ms), 1.0)
 
     def test_an_entry_probes_slow_slots_beside_streams_of_other_entries(self):
         # Streams of other entries, which measure shorter gaps, take the few open slots.
@@ -413,8 +414,9 @@
         sent = []
         for _ in range(100):
             world.now_ms += 100
-            world.take(PeerReported(world.now_ms, "other", Map({"m1": 2})))
-            sent += [e for e in world.arrive("/verses/1") if isinstance(e, Send)]
+            report = PeerReported(world.now_ms, "other", Map({"m1": 2}))
+            effects = (*world.take(report), *world.arrive("/verses/1"))
+            sent += [e for e in effects if isinstance(e, Send)]
         self.assertTrue(sent)
 
     def _two_groups(self):
@@ -454,8 +456,8 @@
         sent = self._sent_by_group(world)
         self.assertEqual((sent["fast"], sent["slow"]), (20, 1))
         world.take(PaceMeasured(world.now_ms, "model", "slow", 80.0))
-        shares = world.state.loads["model"].open_shares
-        self.assertGreaterEqual(shares["slow"], 0.5)
+        share = open_share(world.state, "model", "slow", world.now_ms)
+        self.assertGreaterEqual(share, 0.5)
 
     def test_services_without_a_gap_bound_keep_their_slots(self):
         world = World(upstream("u1"))
--- a/tests/test_direct_named_limits.py
+++ b/tests/test_direct_named_limits.py
@@ -209,10 +209,10 @@
         self.assertEqual(decode_report(earlier, 0).limits, Map())
 
     def test_malformed_limits_raise_one_error(self):
-        *head, _, places = cbor2.loads(encode_report(Report(Map(), ()), 0))
+        items = cbor2.loads(encode_report(Report(Map(), ()), 0))
         for limits in ([1], {"u1": 1}, {"u1": [1, "x", 2]}, {"u1": [1, 2.0]}, 3):
             with self.subTest(limits=limits), self.assertRaises(ReportError):
-                decode_report(cbor2.dumps([*head, limits, places]), 0)
+                decode_report(cbor2.dumps([*items[:5], limits, *items[6:]]), 0)
 
 
 class RefusalTests(unittest.TestCase):
