Report a retry to the other entries as it is sent

Ruled out: a larger reserve of the budget, which would refuse more at all times; a shorter interval between all reports, which costs every entry.

Now a retry wakes the sender of reports; retries are few by the budget, so reports grow by as many at most. What remains is a datagram that is lost.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -90,10 +90,16 @@
         )
 
     def send(self) -> None:
-        """Send reports until killed."""
+        """Send reports until killed; a retry is reported as it is sent.
+
+        A retry that no peer has heard of when this process is killed would be spent
+        from the budget once more.
+        """
+        retry_sent = self._machine.retry_sent
         last = None
         for number in count():
-            gevent.sleep(REPORT_INTERVAL_MS / 1_000)
+            retry_sent.wait(REPORT_INTERVAL_MS / 1_000)
+            retry_sent.clear()
             now_ms = self._machine.clock()
             state = self._machine.state
             standing = self._standing()
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from gevent.event import AsyncResult
+from gevent.event import Event as Flag
 
 from nutmegslip_decisions import direct
 from nutmegslip_decisions.direct import (
@@ -45,6 +46,7 @@
         self._log = log
         self._metrics = metrics
         self.clock = clock
+        self.retry_sent = Flag()
 
     @property
     def state(self) -> direct.State:
@@ -109,6 +111,8 @@
         match effect:
             case Send(request, _):
                 ticket = request.ticket
+                if request.reached:
+                    self.retry_sent.set()
             case Refuse(ticket) | DeliverFailure(ticket):
                 pass
         if ticket in self._steps:
