Let the soak start an entry again whose stop ends during the repair

Now the repair waits until each entry is ready or has ended, and starts the latter, as it says. No check is changed.

--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -21,6 +21,7 @@
 )
 
 ROOT = pathlib.Path(__file__).parent.parent
+READY_STATUS = 200
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_MS = 8_000
 
@@ -140,7 +141,15 @@
         """Send a signal to the process."""
         self._process.send_signal(number)
 
-    def wait_ready(self, status: int = 200) -> None:
+    def becomes_ready(self) -> bool:
+        """Wait until the process is ready or has ended; return whether it is ready."""
+        while self.is_running:
+            if self.get(self.ports.ready, b"/readiness").status == READY_STATUS:
+                return True
+            gevent.sleep(0.05)
+        return False
+
+    def wait_ready(self, status: int = READY_STATUS) -> None:
         """Wait until the readiness endpoint returns a status."""
         deadline_s = time.monotonic() + START_TIMEOUT_S
         while self.get(self.ports.ready, b"/readiness").status != status:
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -138,7 +138,9 @@
         for entry in self.entries:
             if not entry.is_running:
                 entry.start()
-        for entry in self.entries:
+            # One that was told to stop may end only now, and is started again.
+            if not entry.becomes_ready():
+                entry.start()
             entry.wait_ready()
 
     def runs(self) -> Counter[str]:
