Limit streams by the slowest passes of a stream's life; mend the review's finds

Cause: the median of three smoothed samples followed the usual pass, while a stream is late by the longest of its life. Now the third highest of twelve samples (3 s) counts. A review of the branch proved: NaN in a datagram ended the reducer's tick; an expired measurement held again once a stream was sent, and was reported; samples from before an idle time were mixed in; the first sample alone closed a group against the reports of others; expired paces were never removed.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -142,6 +142,7 @@
         sum(
             count * open_counts[group] / slots[group]
             for group, count in busy_slots.items()
+            if count
         ),
         min(pauses, default=None),
         limited,
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
@@ -10,7 +10,8 @@
 requests as probes.
 """
 
-from statistics import median
+from itertools import islice
+from statistics import median_low
 
 from immutables import Map
 
@@ -23,9 +24,11 @@
 MIN_SHARE = 0.5  # below it the ranks' fixed cost per pass outweighs the gain
 MAX_GAP_RATIO = 2.5  # times the bound; 25 events then take the 8 s that callers wait
 PROBE_SHARE = 0.05  # of slots, to detect that a group beyond the ratio has recovered
-SAMPLES = 3  # their median ignores the one gap in which a pass was held
-RISE_SHARE = 0.5  # weight of a slower sample; a faster one counts by a stream's time
-LIFETIME_MS = 2_000  # of a measurement, without a stream of this entry in the group
+SAMPLES = 12  # one each 250 ms; about as long as a stream, which meets its worst pass
+SAMPLE_QUANTILE = 0.8  # the two highest may be passes that were held
+MIN_SAMPLES = 3  # their median ignores one pass that was held
+LIFETIME_MS = 2_000  # of a measurement; a slower pass is taken for a stall
+MAX_REPORTS = 9  # whose median counts; bounds the cost with hundreds of entries
 FREE_SHARE = 0.5  # of a gap; pass time grows with about the square root of streams
 
 
@@ -37,22 +40,16 @@
         return state
     load = load_of(state, service)
     known = load.paces.get(group)
+    if known is not None and not _is_current(known, now_ms):
+        known = None
     sample = GapSample(gap_ms, _in_flight(state, service, group))
     samples = (*(known.samples if known else ()), sample)[-SAMPLES:]
-    middle = sorted(samples)[(len(samples) - 1) // 2]
     slots = _slots(state, service, group)
-    measured_ms = _per_stream_ms(state, service, middle, slots)
-    if known is None:
-        per_stream_ms = measured_ms
-    elif measured_ms > known.per_stream_ms:
-        change_ms = measured_ms - known.per_stream_ms
-        per_stream_ms = known.per_stream_ms + RISE_SHARE * change_ms
-    else:
-        elapsed_ms = now_ms - known.measured_ms
-        share = min(elapsed_ms / max(load.hold_ms, 1.0), 1.0)
-        per_stream_ms = known.per_stream_ms
-        per_stream_ms += share * (measured_ms - per_stream_ms)
-    pace = GroupPace(samples, per_stream_ms, middle.gap_ms, now_ms)
+    per_stream_ms = sorted(_per_stream_ms(state, service, s, slots) for s in samples)
+    recent_ms = (s.gap_ms for s in samples[-MIN_SAMPLES:])
+    pace = GroupPace(
+        samples, per_stream_ms[_rank(len(samples))], median_low(recent_ms), now_ms
+    )
     changed = load._replace(paces=load.paces.set(group, pace))
     return state._replace(loads=state.loads.set(service, changed))
 
@@ -84,9 +81,9 @@
         {
             service: Map(
                 {
-                    group: PaceReport(round(pace.per_stream_ms, 2), round(pace.gap_ms))
+                    group: PaceReport(round(pace.per_stream_ms, 3), round(pace.gap_ms))
                     for group, pace in load.paces.items()
-                    if _is_current(state, service, group, pace, now_ms)
+                    if _is_current(pace, now_ms)
                 }
             )
             for service, load in state.loads.items()
@@ -95,6 +92,20 @@
     )
 
 
+def without_expired_paces(state: State, now_ms: Millis) -> State:
+    """Remove measurements that no longer hold."""
+    for service, load in state.loads.items():
+        expired = [g for g, pace in load.paces.items() if not _is_current(pace, now_ms)]
+        if not expired:
+            continue
+        paces = load.paces
+        for group in expired:
+            paces = paces.delete(group)
+        changed = load._replace(paces=paces)
+        state = state._replace(loads=state.loads.set(service, changed))
+    return state
+
+
 def gap_bound_ms(state: State, service: str) -> int:
     """Return the lowest event gap bound of a service's routes, 0 for none."""
     routes = state.configuration.routes if state.configuration else ()
@@ -109,34 +120,29 @@
 def _current_pace(
     state: State, service: str, group: str, now_ms: Millis
 ) -> PaceReport | None:
-    """Return the own measurement, or the median of the others' without one."""
+    """Return the own measurement, or the median of others' until it has all samples."""
     own = load_of(state, service).paces.get(group)
-    if own is not None and _is_current(state, service, group, own, now_ms):
-        return PaceReport(own.per_stream_ms, own.gap_ms)
-    reported = [
-        peer.paces[service][group]
-        for peer in state.peers.values()
-        if group in peer.paces.get(service, ())
-    ]
-    if not reported:
-        return None
-    return PaceReport(
-        median(pace.per_stream_ms for pace in reported),
-        median(pace.gap_ms for pace in reported),
-    )
-
-
-def _is_current(
-    state: State, service: str, group: str, pace: GroupPace, now_ms: Millis
-) -> bool:
-    """Return whether a measurement holds; a slow stream may show no gap for long."""
-    if pace.measured_ms + LIFETIME_MS > now_ms:
-        return True
-    return any(
-        state.stats_of(upstream_id).in_flight
-        for upstream_id in state.by_service.get(service, ())
-        if state.upstreams[upstream_id].group == group
-    )
+    if own is not None and not _is_current(own, now_ms):
+        own = None
+    if own is None or len(own.samples) < MIN_SAMPLES:
+        found = (
+            peer.paces[service][group]
+            for peer in state.peers.values()
+            if group in peer.paces.get(service, ())
+        )
+        reported = list(islice(found, MAX_REPORTS))
+        if reported:
+            return PaceReport(*map(median_low, zip(*reported, strict=True)))
+    return None if own is None else PaceReport(own.per_stream_ms, own.gap_ms)
+
+
+def _is_current(pace: GroupPace, now_ms: Millis) -> bool:
+    return pace.measured_ms + LIFETIME_MS > now_ms
+
+
+def _rank(count: int) -> int:
+    """Return which of so many sorted samples counts; never the highest of several."""
+    return min(int(SAMPLE_QUANTILE * count), max(count - 2, 0))
 
 
 def _per_stream_ms(state: State, service: str, sample: GapSample, slots: int) -> float:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -42,7 +42,7 @@
     with_reported_limits,
     without_expired_limits,
 )
-from nutmegslip_decisions.direct._pace import with_pace
+from nutmegslip_decisions.direct._pace import with_pace, without_expired_paces
 from nutmegslip_decisions.direct._part_evidence import PartReport
 from nutmegslip_decisions.direct._pauses import with_pause
 from nutmegslip_decisions.direct._peers import with_report, without_stale
@@ -149,6 +149,7 @@
     state = without_expired_parts(state, now_ms)
     state = without_expired_ends(state, now_ms)
     state = without_expired_limits(state, now_ms)
+    state = without_expired_paces(state, now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -75,8 +75,8 @@
 class GroupPace(NamedTuple):
     """How the event gaps of a group grow with its streams in flight.
 
-    ``per_stream_ms`` is what each stream adds to the gaps of all; ``gap_ms`` is the
-    median of the last samples.
+    ``per_stream_ms`` is what each stream adds to the gaps of all, by a high quantile of
+    the samples; ``gap_ms`` is the median of the last ones.
     """
 
     samples: tuple[GapSample, ...]
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -87,8 +87,9 @@
         self._blamed_parts.set(len(state.parts.blames))
         limits = state.named_limits.values()
         self._limited_upstreams.set(sum(limit.per_s is not None for limit in limits))
-        for service, load in state.loads.items():
-            for group in load.paces:
+        for service in state.loads:
+            upstreams = (state.upstreams[u] for u in state.by_service.get(service, ()))
+            for group in {upstream.group for upstream in upstreams}:
                 share = open_share(state, service, group, now_ms)
                 self._open_slots_share.labels(service, group).set(share)
             budget = retry_budget(state, service, now_ms)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -3,6 +3,7 @@
 Times travel as ages, since the clocks of two hosts count from different starts.
 """
 
+import math
 from collections.abc import Iterator
 from itertools import zip_longest
 from typing import NamedTuple
@@ -179,8 +180,8 @@
         {
             str(service): Map(
                 {
-                    str(group): PaceReport(float(per_stream_ms), float(gap_ms))
-                    for group, (per_stream_ms, gap_ms) in groups.items()
+                    str(group): PaceReport(*map(_duration_ms, pace))
+                    for group, pace in groups.items()
                 }
             )
             for service, groups in paces.items()
@@ -188,5 +189,11 @@
     )
 
 
+def _duration_ms(value: float) -> float:
+    if not (math.isfinite(value) and value >= 0):
+        raise ValueError(f"{value} is no duration in ms")
+    return float(value)
+
+
 def _decode_retries(retries: dict) -> Map[str, int]:
     return Map({str(service): int(count) for service, count in retries.items()})
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -1,5 +1,6 @@
 """Run the reducer and deliver to each request its next step."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -24,7 +25,7 @@
 from nutmegslip_entry.direct._metrics import Metrics
 from nutmegslip_runtime.eventlog import RateLimitedLog
 
-GAP_QUANTILE = 0.9  # of the gaps between two measurements; the longest may be a retry's
+GAP_QUANTILE = 0.9  # of the gaps between two measurements; of a few, the longest
 
 _FIRST_PROCESS = direct.Process()
 
@@ -95,7 +96,7 @@
         """Dispatch a high quantile of the gaps of each group since the last call."""
         measured, self._gaps = self._gaps, defaultdict(list)
         for (service, group), gaps in measured.items():
-            gap_ms = sorted(gaps)[int(GAP_QUANTILE * len(gaps))]
+            gap_ms = sorted(gaps)[math.ceil(GAP_QUANTILE * len(gaps)) - 1]
             self.dispatch(PaceMeasured(self.clock(), service, group, gap_ms))
 
     def dispatch_and_wait(self, ticket: int, event: Event) -> Effect:
