Let the fuzz of direct serving measure and report the paces of its group

Cause: it measured a group that no upstream of it is in, and its reports had no paces, so that the shares stayed 1.0 (found by the review). A new invariant: the open share of the group stays above 0 and at most 1.

--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -38,6 +38,8 @@
     UpstreamRemoved,
     ZonesOut,
     load_report,
+    open_share,
+    pace_report,
 )
 from nutmegslip_decisions.direct._restored import REWRITE_MS
 from tests.direct_world import World, configuration, upstream
@@ -197,8 +199,10 @@
     @rule()
     def report(self):
         for number in range(ENTRIES):
-            seen = Map(load_report(self.worlds[1 - number].state))
-            self._take(number, PeerReported(self.now_ms, "other", seen))
+            other = self.worlds[1 - number].state
+            seen, paces = Map(load_report(other)), pace_report(other, self.now_ms)
+            report = PeerReported(self.now_ms, "other", seen, paces=paces)
+            self._take(number, report)
 
     @rule(name=st.sampled_from(sorted(i.id for i in UPSTREAMS)), kind=st.integers(0, 3))
     def change(self, name, kind):
@@ -319,7 +323,7 @@
 
     @rule(number=st.integers(0, ENTRIES - 1), gap_ms=st.floats(10, 500))
     def pace(self, number, gap_ms):
-        self._take(number, PaceMeasured(self.now_ms, "model", "", gap_ms))
+        self._take(number, PaceMeasured(self.now_ms, "model", "g", gap_ms))
 
     def _pick(self, number, pick):
         tickets = sorted(self.in_flight[number])
@@ -335,6 +339,11 @@
             recent = sum(at > self.now_ms - 1_000 for at in sent)
             assert recent <= COLD_BOUND, f"{recent} sends in a second"
 
+    @invariant()
+    def open_shares_are_shares(self):
+        for world in self.worlds:
+            assert 0 < open_share(world.state, "model", "g", self.now_ms) <= 1
+
     @invariant()
     def named_limits_hold(self):
         """From the naming on an entry sends its share, and one request at once."""
