--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -42,7 +42,7 @@
     with_reported_limits,
     without_expired_limits,
 )
-from nutmegslip_decisions.direct._pace import with_pace
+from nutmegslip_decisions.direct._pace import with_pace, without_expired_paces
 from nutmegslip_decisions.direct._part_evidence import PartReport
 from nutmegslip_decisions.direct._pauses import with_pause
 from nutmegslip_decisions.direct._peers import with_report, without_stale
@@ -85,7 +85,7 @@
         case ResponseStarted(now_ms, ticket):
             return record_start(state, ticket, now_ms), ()
         case PaceMeasured(now_ms, service, group, gap_ms):
-            paced = with_pace(state, service, group, gap_ms)
+            paced = with_pace(state, service, group, gap_ms, now_ms)
             return dispatch(paced, service, now_ms)
         case RequestEnded(now_ms, ticket, answered):
             if ticket in state.unadmitted:
@@ -95,7 +95,9 @@
             return _tick(state, now_ms)
         case PeerReported(now_ms, peer, in_flight, parts, standing, spending, limits):
             old = state.peers.get(peer)
-            report = PeerReport(now_ms, in_flight, parts, standing, spending)
+            report = PeerReport(
+                now_ms, in_flight, parts, standing, spending, event.paces
+            )
             state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
@@ -147,6 +149,7 @@
     state = without_expired_parts(state, now_ms)
     state = without_expired_ends(state, now_ms)
     state = without_expired_limits(state, now_ms)
+    state = without_expired_paces(state, now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
