--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -35,6 +35,7 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._last_resort import depends_on_one_zone
 from nutmegslip_decisions.direct._leadership import (
     Tenure,
     highest_fence,
@@ -134,6 +135,7 @@
     "UpstreamRemoved",
     "Verdict",
     "ZonesOut",
+    "depends_on_one_zone",
     "fresh_peers",
     "highest_fence",
     "is_paused",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -18,6 +18,7 @@
 
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._groups import is_usable
+from nutmegslip_decisions.direct._last_resort import usable_zones
 from nutmegslip_decisions.direct._state import State, UpstreamStats
 from nutmegslip_decisions.direct._types import Request, Upstream
 from nutmegslip_decisions.direct._upstream_shares import (
@@ -163,15 +164,18 @@
 def _usable_upstreams(
     state: State, service: str, now_ms: Millis
 ) -> Iterable[tuple[Upstream, UpstreamStats]]:
+    listed = _listed_upstreams(state, service, now_ms)
+    for upstream in usable_zones(state, listed, now_ms):
+        yield upstream, state.stats_of(upstream.id)
+
+
+def _listed_upstreams(state: State, service: str, now_ms: Millis) -> Iterable[Upstream]:
     for upstream_id in state.by_service.get(service, ()):
         upstream = state.upstreams[upstream_id]
-        if upstream.leaving or upstream.zone in state.zones_out:
-            continue
-        if upstream_id in state.withheld:
-            continue
-        if not is_usable(state, upstream, now_ms):
+        if upstream.leaving or upstream_id in state.withheld:
             continue
-        yield upstream, state.stats_of(upstream_id)
+        if is_usable(state, upstream, now_ms):
+            yield upstream
 
 
 def _is_avoided(state: State, upstream: Upstream, now_ms: Millis) -> bool:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -9,6 +9,7 @@
     with_probe,
 )
 from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
+from nutmegslip_decisions.direct._last_resort import send_by_ms
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
 from nutmegslip_decisions.direct._upstream_shares import with_credit_spent
@@ -59,6 +60,7 @@
         sent_at_ms=now_ms,
         tried=request.tried | {upstream_id},
         sends=request.sends + 1,
+        send_by_ms=send_by_ms(state, upstream),
     )
     stats = state.stats_of(upstream_id)
     stats = with_credit_spent(state, upstream, stats, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -50,10 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ZonesOut:
-    """The set of availability zones out of service was read."""
+    """The set of availability zones out of service was read.
+
+    At ``unmarked_ms`` none of those that are new in it was out, None if that is unknown.
+    """
 
     now_ms: Millis
     zones: frozenset[str]
+    unmarked_ms: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
@@ -13,6 +13,8 @@
     minimum count of entries that share the limits. ``budget_*``
     limit retries at a service, ``cold_*`` limit requests to a cold upstream.
     ``rejoin_ms`` is how long removed upstreams are kept after a store outage.
+    ``evacuation_ms`` is the time from the order to take an availability zone out of
+    service until nothing may reach its upstreams, None to stop when it is read.
     """
 
     name: str
@@ -25,6 +27,7 @@
     cold_multiplier: float = 1.0
     cold_slack: float = 0.0
     rejoin_ms: int = 2_000
+    evacuation_ms: int | None = None
 
     @property
     def retry_window_ms(self) -> int:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -108,8 +108,9 @@
             return dispatch_all(with_upstream(state, upstream, now_ms), now_ms)
         case UpstreamRemoved(now_ms, upstream_id):
             return without_upstream(state, upstream_id, now_ms), ()
-        case ZonesOut(now_ms, zones):
-            return dispatch_all(with_zones_read(state, zones, now_ms), now_ms)
+        case ZonesOut(now_ms, zones, unmarked_ms):
+            state = with_zones_read(state, zones, unmarked_ms, now_ms)
+            return dispatch_all(state, now_ms)
         case ListingRead(now_ms, upstreams):
             state, sent = admit_all(with_listing(state, upstreams, now_ms), now_ms)
             state, more = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_restored.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_restored.py
@@ -10,6 +10,7 @@
 from immutables import Map
 
 from nutmegslip_decisions.direct._departures import was_removed
+from nutmegslip_decisions.direct._last_resort import zone_deadlines
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Upstream
 from nutmegslip_decisions.model import Millis
@@ -69,13 +70,17 @@
     return state._replace(withheld=state.withheld.delete(upstream_id))
 
 
-def with_zones_read(state: State, zones: frozenset[str], now_ms: Millis) -> State:
+def with_zones_read(
+    state: State, zones: frozenset[str], unmarked_ms: Millis | None, now_ms: Millis
+) -> State:
     """Put the zones out of service that were read.
 
-    While the list may be that of a copy, zones that were out stay out.
+    While the list may be that of a copy, zones that were out stay out. At
+    ``unmarked_ms`` none that is new was out, None if that is unknown.
     """
     out = zones | state.zones_out if now_ms < state.copy_until_ms else zones
-    return state._replace(zones_read=zones, zones_out=out)
+    deadlines = zone_deadlines(state, out, unmarked_ms, now_ms)
+    return state._replace(zones_read=zones, zones_out=out, zone_deadlines=deadlines)
 
 
 def without_copy(state: State, now_ms: Millis) -> State:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -135,7 +135,8 @@
     until ``copy_until_ms`` the list may be that of the copy, and ``withheld`` maps the
     upstreams that it revived to the time until which they get no requests.
     ``zones_read`` are the zones out of service by the list, ``zones_out`` those in
-    force. ``unadmitted`` holds the requests that wait for the first configuration, by
+    force; ``zone_deadlines`` is until when one of them may still get requests, by zone.
+    ``unadmitted`` holds the requests that wait for the first configuration, by
     ticket; ``waiting`` holds the queues of tickets, by service.
     """
 
@@ -154,6 +155,7 @@
     withheld: Map[str, Millis] = Map()
     zones_read: frozenset[str] = frozenset()
     zones_out: frozenset[str] = frozenset()
+    zone_deadlines: Map[str, Millis] = Map()
     upstream_stats: Map[str, UpstreamStats] = Map()
     named_limits: Map[str, NamedLimit] = Map()
     peers: Map[str, PeerReport] = Map()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -237,7 +237,8 @@
     that arrived at an upstream, misdirected ones included. ``begun`` is whether the
     answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
     before it did. ``fingerprint`` is the same for a request that a caller sends again,
-    at whichever entry.
+    at whichever entry. ``send_by_ms`` is the latest time to send the request to its
+    upstream, None without a limit but its deadline.
     """
 
     ticket: int
@@ -259,6 +260,7 @@
     begun: bool = False
     met_crash: bool = False
     fingerprint: str = ""
+    send_by_ms: Millis | None = None
 
     @property
     def subjects(self) -> tuple[str, ...]:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -207,8 +207,10 @@
         self, connection: ClientConnection, request: Request, upstream: Upstream
     ) -> bool:
         http_request = self._http_request
-        remaining_ms = request.deadline_ms - self._machine.clock()
-        if remaining_ms <= 0:
+        now_ms = self._machine.clock()
+        remaining_ms = request.deadline_ms - now_ms
+        is_late = request.send_by_ms is not None and now_ms >= request.send_by_ms
+        if remaining_ms <= 0 or is_late:
             return False  # the process was suspended after the decision to send
         headers = self._header_codec.upstream_headers(
             http_request, request, upstream, remaining_ms, self._events.last_id
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -242,6 +242,16 @@
             )
             if request.reached:
                 yield _retry_line(request, after)
+            if request.send_by_ms is not None:
+                yield LogLine(
+                    "last-resort-used",
+                    request.request_id,
+                    {
+                        "upstream": upstream.id,
+                        "zone": upstream.zone,
+                        "left_ms": request.send_by_ms - request.sent_at_ms,
+                    },
+                )
         case Refuse(ticket, kind, ran, retry_after_ms):
             yield LogLine(
                 "request-refused",
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -66,7 +66,9 @@
 RankClientFactory = Callable[
     [Pool, Callable[[], int], RateLimitedLog, AnswerRecorder], RankClient
 ]
-FeedFactory = Callable[[str, Callable[[Event], None], RateLimitedLog], Feed]
+FeedFactory = Callable[
+    [str, Callable[[Event], None], RateLimitedLog, Callable[[], bool]], Feed
+]
 
 
 class Program:
@@ -101,7 +103,12 @@
         )
         self._pool = Pool(boottime_ms)
         self._exchanges = Exchanges(self._machine, header_codec, self._pool, count(1))
-        self._feed = make_feed(settings.store, self._machine.dispatch, self._log)
+        self._feed = make_feed(
+            settings.store,
+            self._machine.dispatch,
+            self._log,
+            lambda: direct.depends_on_one_zone(self._machine.state),
+        )
         self._peers = Peers(
             self._machine,
             settings.peers,
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -39,6 +39,7 @@
     budget_slack: NotRequired[float]
     cold_multiplier: NotRequired[float]
     cold_slack: NotRequired[float]
+    evacuation_s: NotRequired[float]
     stop_grace_s: NotRequired[float]
 
 
@@ -119,9 +120,14 @@
         budget_slack=bounds.get("budget_slack", defaults.budget_slack),
         cold_multiplier=bounds.get("cold_multiplier", defaults.cold_multiplier),
         cold_slack=bounds.get("cold_slack", defaults.cold_slack),
+        evacuation_ms=_milliseconds(bounds.get("evacuation_s")),
     )
 
 
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else int(seconds * 1_000)
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -272,6 +272,15 @@
         "Correct the value that the upstream sends: requests per second as a decimal.",
         ("upstream", "value"),
     ),
+    EventKind(
+        2040,
+        "last-resort-used",
+        Level.WARNING,
+        "A request is sent to an availability zone that goes out of service, as no other "
+        "upstream of its service can take it; that ends in 'left_ms'.",
+        "Start upstreams of the service in another zone.",
+        ("upstream", "zone", "left_ms"),
+    ),
     EventKind(
         2101,
         "request-sent",
