--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -52,7 +52,7 @@
 class ZonesOut:
     """The set of availability zones out of service was read.
 
-    At ``unmarked_ms`` none of those that are new in it was out, None if that is unknown.
+    At ``unmarked_ms`` none of those that are new in it was out, None if unknown.
     """
 
     now_ms: Millis
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_last_resort.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_last_resort.py
@@ -24,7 +24,7 @@
 ) -> Map[str, Millis]:
     """Return until when zones that are put out of service may get requests, by zone.
 
-    At ``unmarked_ms`` none of the zones that are new in ``out`` was out, None if that is
+    At ``unmarked_ms`` none of the zones that are new in ``out`` was out, None if
     unknown. A zone keeps the deadline that it has.
     """
     kept = {
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -276,8 +276,8 @@
         2040,
         "last-resort-used",
         Level.WARNING,
-        "A request is sent to an availability zone that goes out of service, as no other "
-        "upstream of its service can take it; that ends in 'left_ms'.",
+        "The entry sends the request to an availability zone that goes out of service, "
+        "for 'left_ms' yet, as no other upstream of its service can take it.",
         "Start upstreams of the service in another zone.",
         ("upstream", "zone", "left_ms"),
     ),
