Send a retry to another group of ranks

Closing the whole group after one refused connection was ruled out: where there is one group, a stale list would refuse everything. A request now takes another group if one is free.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -6,7 +6,8 @@
 to the same upstream until the next reports arrive. Of two that differ by less than a
 slot it takes one in its own availability zone: traffic between zones is dear, and the
 ranks of a group run in one pass, whichever of them has the request. Cold upstreams
-are limited to their rate, and failing upstreams are avoided for a while.
+are limited to their rate, and failing upstreams are avoided for a while; a retry goes
+to another group, as the ranks of a lost zone all refuse it.
 """
 
 from collections import Counter
@@ -98,7 +99,9 @@
         for candidate in candidates
         if not _is_avoided(state, candidate.upstream, now_ms)
     ]
-    sampled = _sample(preferred or candidates, request)
+    sampled = _sample(
+        _in_other_groups(state, preferred or candidates, request), request
+    )
     zone = state.options.zone
     return min(sampled, key=lambda candidate: candidate.cost(zone)).upstream
 
@@ -178,6 +181,22 @@
             yield upstream
 
 
+def _in_other_groups(
+    state: State, candidates: list[Candidate], request: Request
+) -> list[Candidate]:
+    """Prefer the groups that a request has not tried.
+
+    All ranks of a group stall if one of them fails, and many fail at once with a zone.
+    """
+    tried = {
+        state.upstreams[upstream_id].group
+        for upstream_id in request.tried
+        if upstream_id in state.upstreams
+    } - {""}
+    others = [item for item in candidates if item.upstream.group not in tried]
+    return others or candidates
+
+
 def _is_avoided(state: State, upstream: Upstream, now_ms: Millis) -> bool:
     return state.stats_of(upstream.id).avoid_until_ms > now_ms
 
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -354,6 +354,31 @@
         world.take(AttemptFailed(world.now_ms, sent.request.ticket, fault))
         return world
 
+    def test_a_zone_of_dead_ranks_costs_a_request_one_attempt(self):
+        """The entry prefers its own zone, whose ranks all refuse."""
+        ranks = [
+            upstream(
+                f"{zone}{number}",
+                "model",
+                zone=zone,
+                slots=5,
+                rank=GroupRank(f"g-{zone}", 1, number, is_open=True),
+            )
+            for zone in ("a", "c")
+            for number in range(20)
+        ]
+        options = Options("entry-1", zone="c", budget_slack=100.0)
+        world = World(*ranks, options=options)
+        for _ in range(15):
+            (sent,) = world.arrive("/verses/1")
+            attempts = 1
+            while sent.upstream.zone == "c":
+                refused = AttemptFailed(world.now_ms, sent.request.ticket, NotSent())
+                (sent,) = world.take(refused)
+                attempts += 1
+            self.assertLessEqual(attempts, 2)
+            world.now_ms += 40
+
     def test_nothing_is_sent_to_a_stalled_group(self):
         world = self._after_a_fault()
         (refusal,) = world.arrive("/verses/1")
