--- a/tests/test_direct_last_resort.py
+++ b/tests/test_direct_last_resort.py
@@ -29,6 +29,7 @@
 )
 from nutmegslip_decisions.direct._options import LATE_ARRIVAL_MS
 from nutmegslip_decisions.direct._restored import REWRITE_MS
+from nutmegslip_entry.direct import read_settings
 from nutmegslip_entry.direct._exchange import _Exchange
 from tests.direct_world import World, upstream
 
@@ -143,6 +144,10 @@
         self._read_zones("b", unmarked_ms=self.start_ms)
         self._assert_unused()
 
+    def test_the_setting_is_read(self):
+        settings = read_settings("examples/direct-entry.toml").ok
+        self.assertEqual(settings.options.evacuation_ms, EVACUATION_MS)
+
     def test_the_setting_may_change(self):
         self._start(OPTIONS._replace(evacuation_ms=None))
         self.world.take(OptionsChanged(self.start_ms, OPTIONS))
