Plan as many copies of experts as the links carry in a short time

The old planner copied at most five experts a layer and stopped as soon as two ranks were about as busy; a group with 72 ranks has many such.

What: each move relieves the busiest rank and makes no other as busy; an expert may also move away from it, in place of one of several replicas. The count of copies is chosen afterwards, where the peak and what copies cost are least.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/__init__.py
@@ -4,6 +4,7 @@
 from nutmegslip_decisions.experts.placement._even_shares import (
     EvenSharePlan,
     Slots,
+    moves_per_layer,
     plan_even_shares,
 )
 from nutmegslip_decisions.experts.placement._from_scratch import place_from_scratch
@@ -24,6 +25,7 @@
     "PlacementOptions",
     "Plan",
     "Slots",
+    "moves_per_layer",
     "place_from_scratch",
     "plan",
     "plan_even_shares",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
@@ -1,22 +1,23 @@
 """Reduce the busiest rank's load with a few copies; replicas share tokens evenly.
 
 Answers the load pattern in which a few experts become popular and the ranks that hold
-them slow down all others in lock-step. Few copies are made, since each occupies a
-rank's link.
+them slow down all others in lock-step. As many copies are made as the ranks' links
+carry in a short time; each must gain more than the passes lose meanwhile.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 #: For each rank, the experts that it holds.
 Slots = tuple[tuple[int, ...], ...]
 
-CANDIDATE_EXPERTS = 4  # the busiest rank's experts with the most tokens
-TARGET_RANKS = 4  # the least busy ranks
-MAX_MOVES = 5  # a rank copies an expert in 0.14 s; a load shift lasts some seconds
+TARGET_RANKS = 4  # the least busy ranks that can take the copy
+FEW_MOVES = 5  # a layer, where a copy takes long or its time is not published
+MANY_MOVES = 24  # a layer; further ones gain nothing
+COPY_TIME_MS = 200  # that a rank copies in a change, on average over the ranks
 MAX_COPY_GAIN_SHARE = 0.02  # of the peak; a larger gain is worth any copy
 MIN_COPY_GAIN_SHARE = 0.002  # below it the next counts differ by more
-GAIN_SHARE_PER_COPY_MS = 0.0004  # copying slows the passes meanwhile
+GAIN_SHARE_PER_COPY_MS = 0.0048  # of one rank; the ranks copy side by side
 
 
 class EvenSharePlan(NamedTuple):
@@ -27,12 +28,36 @@
     peak_after: float
 
 
+class _Move(NamedTuple):
+    """An expert copied to ``target``, in place of ``dropped`` there.
+
+    ``left`` is the rank that no longer holds the expert, None if all keep it.
+    """
+
+    expert: int
+    target: int
+    dropped: int | None
+    left: int | None
+
+
+def moves_per_layer(ranks: int, layers: int, copy_ms: float) -> int:
+    """Return how many copies a layer's plan may hold.
+
+    ``copy_ms`` is the time that a rank takes to copy one expert, 0 if unknown.
+    """
+    if copy_ms <= 0:
+        return FEW_MOVES
+    moves = int(COPY_TIME_MS / copy_ms * ranks / layers)
+    return min(max(moves, FEW_MOVES), MANY_MOVES)
+
+
 def plan_even_shares(
     current: Slots,
     loads: Sequence[float],
     places: int,
     spare: int,
     copy_ms: float = 0.0,
+    max_moves: int = FEW_MOVES,
 ) -> EvenSharePlan:
     """Return slots for one layer that lower the busiest rank's tokens.
 
@@ -40,39 +65,46 @@
     them may be new to it in one change. The longer an expert takes to copy,
     ``copy_ms``, the more a copy must gain.
     """
-    min_gain = min(
-        max(GAIN_SHARE_PER_COPY_MS * copy_ms, MIN_COPY_GAIN_SHARE), MAX_COPY_GAIN_SHARE
-    )
-    layer = _LayerPlanner(current, loads, places, spare, min_gain)
-    peak_before = layer.peak()
-    for _ in range(MAX_MOVES):
-        if not layer.improve():
-            break
-    return EvenSharePlan(layer.slots(), peak_before, layer.peak())
+    search = _LayerPlanner(current, loads, places, spare)
+    peaks = [search.peak()]
+    moves = []
+    while len(moves) < max_moves and (move := search.best_move()) is not None:
+        search.apply(move)
+        moves.append(move)
+        peaks.append(search.peak())
+    min_gain = _min_gain(copy_ms, len(current)) * peaks[0]
+    count = min(range(len(peaks)), key=lambda made: peaks[made] + min_gain * made)
+    chosen = _LayerPlanner(current, loads, places, spare)
+    for move in moves[:count]:
+        chosen.apply(move)
+    return EvenSharePlan(chosen.slots(), peaks[0], peaks[count])
+
+
+def _min_gain(copy_ms: float, ranks: int) -> float:
+    """Return the share of the peak that a copy must gain."""
+    gain = GAIN_SHARE_PER_COPY_MS * copy_ms / ranks
+    return min(max(gain, MIN_COPY_GAIN_SHARE), MAX_COPY_GAIN_SHARE)
 
 
 class _LayerPlanner:
     """The placement of one layer during its change."""
 
     def __init__(
-        self,
-        current: Slots,
-        loads: Sequence[float],
-        places: int,
-        spare: int,
-        min_gain: float,
+        self, current: Slots, loads: Sequence[float], places: int, spare: int
     ) -> None:
-        self._min_gain = min_gain
         self._loads = loads
         self._places = places
         self._spare = spare
         self._old = [frozenset(experts) for experts in current]
         self._held = [set(experts) for experts in current]
-        self._copies = [0] * len(loads)
-        for experts in current:
+        self._holders: list[set[int]] = [set() for _ in loads]
+        for rank, experts in enumerate(current):
             for expert in experts:
-                self._copies[expert] += 1
-        self._work = [self._rank_work(rank) for rank in range(len(current))]
+                self._holders[expert].add(rank)
+        self._work = [
+            sum(loads[expert] / len(self._holders[expert]) for expert in experts)
+            for experts in current
+        ]
 
     def peak(self) -> float:
         """Return the busiest rank's tokens."""
@@ -82,73 +114,69 @@
         """Return the sorted experts of each rank."""
         return tuple(tuple(sorted(experts)) for experts in self._held)
 
-    def improve(self) -> bool:
-        """Apply the best copy; return False if none lowers the peak enough."""
+    def best_move(self) -> _Move | None:
+        """Return the move that relieves the busiest rank best.
+
+        None if each would leave it, or make another rank, as busy.
+        """
         order = sorted(range(len(self._work)), key=self._work.__getitem__)
+        highest = {
+            move: max(self._work_after(move).values()) for move in self._moves(order)
+        }
+        best = min(highest, key=highest.__getitem__, default=None)
+        return best if best is not None and highest[best] < self.peak() else None
+
+    def apply(self, move: _Move) -> None:
+        """Change the placement."""
+        expert, target, dropped, left = move
+        for rank, work in self._work_after(move).items():
+            self._work[rank] = work
+        self._held[target].add(expert)
+        self._holders[expert].add(target)
+        if dropped is not None:
+            self._held[target].discard(dropped)
+            self._holders[dropped].discard(target)
+        if left is not None:
+            self._held[left].discard(expert)
+            self._holders[expert].discard(left)
+
+    def _moves(self, order: Sequence[int]) -> Iterator[_Move]:
+        """Yield the moves of the busiest rank's experts to the least busy ranks."""
         busiest = order[-1]
-        experts = sorted(
-            self._held[busiest], key=self._tokens_per_replica, reverse=True
-        )
-        moves = [
-            (expert, rank, dropped)
-            for expert in experts[:CANDIDATE_EXPERTS]
-            for rank in order[:TARGET_RANKS]
-            if expert not in self._held[rank]
-            for dropped in self._replaceable_slots(rank, expert)
-        ]
-        peak = self.peak()
-        best = min(moves, key=self._peak_after, default=None)
-        if best is None or self._peak_after(best) > peak * (1 - self._min_gain):
+        for expert in sorted(self._held[busiest]):
+            targets = [rank for rank in order if self._can_take(rank, expert)]
+            for target in targets[:TARGET_RANKS]:
+                for dropped in self._replaceable_slots(target):
+                    yield _Move(expert, target, dropped, None)
+                    yield _Move(expert, target, dropped, busiest)
+
+    def _can_take(self, rank: int, expert: int) -> bool:
+        if expert in self._held[rank]:
             return False
-        self._apply_move(best)
-        return True
-
-    def _replaceable_slots(self, rank: int, expert: int) -> list[int | None]:
-        """Return what a copy may replace: a free place, or the smallest replica."""
         new = len(self._held[rank] - self._old[rank])
-        if expert not in self._old[rank] and new >= self._spare:
-            return []
+        return expert in self._old[rank] or new < self._spare
+
+    def _replaceable_slots(self, rank: int) -> list[int | None]:
+        """Return what a copy may replace: a free place, or one of several replicas."""
         if len(self._held[rank]) < self._places:
             return [None]
-        replicas = [e for e in self._held[rank] if self._copies[e] > 1]
-        return [min(replicas, key=self._tokens_taken_over)] if replicas else []
-
-    def _apply_move(self, move: tuple[int, int, int | None]) -> None:
-        expert, rank, dropped = move
-        self._held[rank].add(expert)
-        self._copies[expert] += 1
+        return [e for e in sorted(self._held[rank]) if len(self._holders[e]) > 1]
+
+    def _work_after(self, move: _Move) -> dict[int, float]:
+        """Return the tokens of each rank that a move changes."""
+        expert, target, dropped, left = move
+        holders, load = self._holders[expert], self._loads[expert]
+        share = load / len(holders)
+        new_share = load / (len(holders) + (left is None))
+        work = {rank: self._work[rank] - share + new_share for rank in holders}
+        work[target] = self._work[target] + new_share
+        if left is not None:
+            work[left] = self._work[left] - share
         if dropped is not None:
-            self._held[rank].discard(dropped)
-            self._copies[dropped] -= 1
-        self._work = [self._rank_work(rank) for rank in range(len(self._held))]
-
-    def _peak_after(self, move: tuple[int, int, int | None]) -> float:
-        expert, target, dropped = move
-        tokens_given_up = self._tokens_per_replica(expert) - self._loads[expert] / (
-            self._copies[expert] + 1
-        )
-        highest = 0.0
-        for rank, work in enumerate(self._work):
-            rank_after = work
-            if expert in self._held[rank]:
-                rank_after -= tokens_given_up
-            elif rank == target:
-                rank_after += self._tokens_per_replica(expert) - tokens_given_up
-            if dropped is not None:
-                if rank == target:
-                    rank_after -= self._tokens_per_replica(dropped)
-                elif dropped in self._held[rank]:
-                    rank_after += self._tokens_taken_over(dropped)
-            highest = max(highest, rank_after)
-        return highest
-
-    def _tokens_per_replica(self, expert: int) -> float:
-        return self._loads[expert] / self._copies[expert]
-
-    def _tokens_taken_over(self, expert: int) -> float:
-        """Return the tokens added to each other holder if one replica is dropped."""
-        copies = self._copies[expert]
-        return self._loads[expert] / (copies - 1) - self._loads[expert] / copies
-
-    def _rank_work(self, rank: int) -> float:
-        return sum(self._tokens_per_replica(expert) for expert in self._held[rank])
+            holders, load = self._holders[dropped], self._loads[dropped]
+            share = load / len(holders)
+            taken_over = load / (len(holders) - 1) - share
+            for rank in holders:
+                work[rank] = work.get(rank, self._work[rank]) + taken_over
+            work[target] -= share + taken_over
+        return work
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -12,7 +12,7 @@
 
 from immutables import Map
 
-from nutmegslip_decisions.experts.placement import plan_even_shares
+from nutmegslip_decisions.experts.placement import moves_per_layer, plan_even_shares
 from nutmegslip_decisions.experts.rollout._orders import unconfirmed_orders
 from nutmegslip_decisions.experts.rollout._outcomes import on_outcome
 from nutmegslip_decisions.experts.rollout._phases import (
@@ -119,8 +119,12 @@
     ):
         return state
     options = state.options
+    ranks, layers = len(state.group.ranks), len(state.layout)
+    moves = moves_per_layer(ranks, layers, options.copy_ms)
     plans = [
-        plan_even_shares(slots, layer, options.places, options.spare, options.copy_ms)
+        plan_even_shares(
+            slots, layer, options.places, options.spare, options.copy_ms, moves
+        )
         for slots, layer in zip(state.layout, loads, strict=True)
     ]
     peak_before = sum(plan.peak_before for plan in plans)
--- a/tests/test_experts_placement.py
+++ b/tests/test_experts_placement.py
@@ -1,6 +1,7 @@
 """Test the placement of experts against brute-force versions of it."""
 
 import itertools
+import random
 import unittest
 
 from hypothesis import given, settings
@@ -11,8 +12,11 @@
     LayerMap,
     LoadReport,
     PlacementOptions,
+    Slots,
+    moves_per_layer,
     place_from_scratch,
     plan,
+    plan_even_shares,
 )
 from nutmegslip_decisions.experts.placement._search import improvements
 from nutmegslip_decisions.experts.placement._shares import (
@@ -117,6 +121,63 @@
             self.assertEqual(made.moves > 0, ordered)
 
 
+class EvenShareTests(unittest.TestCase):
+    """Replay shifts of popularity among many experts with few places on a rank."""
+
+    RANKS, EXPERTS, PLACES, SPARE, COPY_MS = 72, 144, 3, 2, 16.4
+
+    def setUp(self):
+        self.random = random.Random(1)
+        self.slots = tuple(
+            (rank, rank + self.RANKS) for rank in range(self.RANKS)
+        )  # the map that a group forms with
+        self.moves = moves_per_layer(self.RANKS, 12, self.COPY_MS)
+
+    def popularity(self) -> list[float]:
+        loads = [(place + 1) ** -0.53 for place in range(self.EXPERTS)]
+        self.random.shuffle(loads)
+        return loads
+
+    def plan(self, loads: list[float]) -> Slots:
+        return plan_even_shares(
+            self.slots, loads, self.PLACES, self.SPARE, self.COPY_MS, self.moves
+        ).slots
+
+    def peak(self, slots: Slots, loads: list[float]) -> float:
+        """Return the busiest rank's tokens over the mean."""
+        copies = [sum(expert in held for held in slots) for expert in range(len(loads))]
+        work = [sum(loads[e] / copies[e] for e in held) for held in slots]
+        return max(work) * len(work) / sum(loads)
+
+    def test_one_change_answers_a_shift_of_popularity(self):
+        """A plan that stops where two ranks are as busy ends at 1.8 times the mean."""
+        for _ in range(6):
+            loads = self.popularity()
+            self.assertGreater(self.peak(self.slots, loads), 2.4)
+            slots = self.plan(loads)
+            self.assertLess(self.peak(slots, loads), 1.45)
+            self.assert_can_be_prepared(slots)
+            self.slots = slots
+
+    def assert_can_be_prepared(self, slots: Slots) -> None:
+        self.assertEqual(set(itertools.chain(*slots)), set(range(self.EXPERTS)))
+        for old, new in zip(self.slots, slots, strict=True):
+            self.assertLessEqual(len(new), self.PLACES)
+            self.assertLessEqual(len(set(new) - set(old)), self.SPARE)
+
+    def test_an_expert_moves_away_where_a_copy_alone_would_relieve_less(self):
+        loads = [40.0, 30.0, 1.0, 1.0, 1.0, 1.0]
+        slots = ((0, 1), (2, 3), (4, 5))
+        made = plan_even_shares(slots, loads, 3, 2, max_moves=1)
+        self.assertEqual(made.peak_after, 40.0)
+
+    def test_more_is_copied_where_a_copy_takes_less_time(self):
+        """Slow links, and those of unknown speed, carry as few copies as before."""
+        self.assertEqual(moves_per_layer(12, 3, 142.0), 5)
+        self.assertEqual(moves_per_layer(12, 3, 0.0), 5)
+        self.assertGreater(moves_per_layer(72, 12, 16.4), 20)
+
+
 def all_moves(slots: list[list[int]]) -> list[list[list[int]]]:
     """Return the slots after no move, and after each move that loses no expert."""
     experts = set().union(*slots)
