Let a change of fast maps gain a quarter, and a copy what it costs

A plan made from counts of half a shift gains a little, and delays the next one.

What: where maps are copied fast a change must gain 0.25, elsewhere 0.15 as before; a copy must gain 0.0004 of the peak for each ms that it takes, as before the new planner (it was divided by the ranks).

A held pass that another process left is looked at each 0.25 s, not each second, until it is taken over: where two reads of all ranks fail after a takeover, the group stood still for 2.1 s in the simulation, now 1.3 s; with none failing it is 1.1 s in both.

Tests: the takeover's fails before (2.1 s).

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_expert_loads.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_expert_loads.py
@@ -8,11 +8,11 @@
 from collections.abc import Sequence
 
 from nutmegslip_decisions.direct._types import ExpertLayout
+from nutmegslip_decisions.experts.placement import is_copied_fast
 from nutmegslip_decisions.model import Millis
 
 SLOW_INTERVAL_MS = 1_500  # expert load shifts last several seconds
 FAST_INTERVAL_MS = 500  # each read holds up the passes for some ms
-FAST_COPY_MS = 500  # for all that a change may add to a rank
 PREVIOUS_LOADS_SHARE = 0.3  # weight of earlier loads, to smooth out single requests
 SHIFT_SHARE = 0.1  # of the choices that moved; single requests move less
 
@@ -45,8 +45,7 @@
 
 
 def _is_fast(layout: ExpertLayout) -> bool:
-    change_ms = layout.copy_ms * layout.spare * layout.layers
-    return 0 < change_ms <= FAST_COPY_MS
+    return is_copied_fast(layout.layers, layout.spare, layout.copy_ms)
 
 
 def _smooth(previous: Layers | None, layers: Layers) -> Layers:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/__init__.py
@@ -4,6 +4,7 @@
 from nutmegslip_decisions.experts.placement._even_shares import (
     EvenSharePlan,
     Slots,
+    is_copied_fast,
     moves_per_layer,
     plan_even_shares,
 )
@@ -25,6 +26,7 @@
     "PlacementOptions",
     "Plan",
     "Slots",
+    "is_copied_fast",
     "moves_per_layer",
     "place_from_scratch",
     "plan",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
@@ -17,7 +17,8 @@
 COPY_TIME_MS = 200  # that a rank copies in a change, on average over the ranks
 MAX_COPY_GAIN_SHARE = 0.02  # of the peak; a larger gain is worth any copy
 MIN_COPY_GAIN_SHARE = 0.002  # below it the next counts differ by more
-GAIN_SHARE_PER_COPY_MS = 0.0048  # of one rank; the ranks copy side by side
+GAIN_SHARE_PER_COPY_MS = 0.0004  # copying slows the passes meanwhile
+FAST_CHANGE_MS = 500  # a load shift lasts some seconds
 
 
 class EvenSharePlan(NamedTuple):
@@ -51,6 +52,11 @@
     return min(max(moves, FEW_MOVES), MANY_MOVES)
 
 
+def is_copied_fast(layers: int, spare: int, copy_ms: float) -> bool:
+    """Return whether a rank soon copies all that a change may add to it."""
+    return 0 < copy_ms * spare * layers <= FAST_CHANGE_MS
+
+
 def plan_even_shares(
     current: Slots,
     loads: Sequence[float],
@@ -72,7 +78,7 @@
         search.apply(move)
         moves.append(move)
         peaks.append(search.peak())
-    min_gain = _min_gain(copy_ms, len(current)) * peaks[0]
+    min_gain = _min_gain(copy_ms) * peaks[0]
     count = min(range(len(peaks)), key=lambda made: peaks[made] + min_gain * made)
     chosen = _LayerPlanner(current, loads, places, spare)
     for move in moves[:count]:
@@ -80,9 +86,9 @@
     return EvenSharePlan(chosen.slots(), peaks[0], peaks[count])
 
 
-def _min_gain(copy_ms: float, ranks: int) -> float:
+def _min_gain(copy_ms: float) -> float:
     """Return the share of the peak that a copy must gain."""
-    gain = GAIN_SHARE_PER_COPY_MS * copy_ms / ranks
+    gain = GAIN_SHARE_PER_COPY_MS * copy_ms
     return min(max(gain, MIN_COPY_GAIN_SHARE), MAX_COPY_GAIN_SHARE)
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -12,7 +12,11 @@
 
 from immutables import Map
 
-from nutmegslip_decisions.experts.placement import moves_per_layer, plan_even_shares
+from nutmegslip_decisions.experts.placement import (
+    is_copied_fast,
+    moves_per_layer,
+    plan_even_shares,
+)
 from nutmegslip_decisions.experts.rollout._orders import unconfirmed_orders
 from nutmegslip_decisions.experts.rollout._outcomes import on_outcome
 from nutmegslip_decisions.experts.rollout._phases import (
@@ -68,6 +72,7 @@
 CHANGE_TIMEOUT_MS = 10_000  # includes a second for the switch and late orders
 CHANGE_INTERVAL_MS = 300  # between two changes
 MIN_GAIN_SHARE = 0.15  # of the busiest ranks' work; copying slows passes by 15 %
+MIN_FAST_GAIN_SHARE = 0.25  # else a plan from counts of half a shift delays the next
 
 
 def reduce(state: State, event: Event) -> Transition:
@@ -132,7 +137,8 @@
     gain = (
         1 - sum(plan.peak_after for plan in plans) / peak_before if peak_before else 0.0
     )
-    if gain < MIN_GAIN_SHARE:
+    is_fast = is_copied_fast(layers, options.spare, options.copy_ms)
+    if gain < (MIN_FAST_GAIN_SHARE if is_fast else MIN_GAIN_SHARE):
         return state
     version = next_version(state)
     layout = tuple(plan.slots for plan in plans)
@@ -178,7 +184,11 @@
     """Return when reports are to be read again."""
     match state.phase:
         case Idle():
-            due_ms = state.reports_requested_ms + IDLE_REPORT_INTERVAL_MS
+            is_held = any(r.held is not None for _, r in state.reports.values())
+            interval_ms = (
+                CHANGE_REPORT_INTERVAL_MS if is_held else IDLE_REPORT_INTERVAL_MS
+            )
+            due_ms = state.reports_requested_ms + interval_ms
             if state.reports_requested_ms < state.trusted_from_ms:
                 return min(due_ms, state.trusted_from_ms)
             return due_ms
--- a/tests/test_experts_rollout.py
+++ b/tests/test_experts_rollout.py
@@ -193,6 +193,22 @@
         self.assertLess(simulation.seen["held"], 30)
         self.assertGreater(simulation.seen["changed"], 0)
 
+    def test_a_takeover_does_not_wait_long_for_a_read_that_got_no_answer(self):
+        """Entries restart one after the other, so a read of all ranks often fails."""
+        simulation = Simulation(1, fault_rate=0.0)
+        first, second = simulation.processes
+        second.is_leader = False
+        while not any(rank.held for rank in simulation.ranks.ranks):
+            simulation.tick()
+        first.frozen_until_ms = simulation.now_ms + 60_000
+        read, unanswered = simulation._read_layout, iter(range(2))
+        simulation._read_layout = lambda process: (
+            read(process) if next(unanswered, None) is None else None
+        )
+        first.is_leader, second.is_leader = False, True
+        simulation.run(80)
+        self.assertLess(simulation.seen["held"] * TICK_MS, 1_500)
+
     @given(seed=st.integers(0, 2**32), fault_rate=st.sampled_from((0.1, 0.3, 0.6)))
     @settings(max_examples=120, suppress_health_check=list(HealthCheck))
     def test_no_pass_begins_with_two_maps_or_is_held_forever(self, seed, fault_rate):
