Merge expert maps that follow a fast shift

Copies that take 16 ms allow more of them in one change, and more frequent counts. Groups whose copies take long keep their plan.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -35,6 +35,7 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._expert_loads import counts_interval_ms, next_loads
 from nutmegslip_decisions.direct._last_resort import depends_on_one_zone
 from nutmegslip_decisions.direct._leadership import (
     Tenure,
@@ -140,6 +141,7 @@
     "UpstreamRemoved",
     "Verdict",
     "ZonesOut",
+    "counts_interval_ms",
     "depends_on_one_zone",
     "fresh_peers",
     "highest_fence",
@@ -148,6 +150,7 @@
     "judge",
     "limit_report",
     "load_report",
+    "next_loads",
     "next_tenure",
     "open_share",
     "pace_report",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -12,7 +12,11 @@
 
 from immutables import Map
 
-from nutmegslip_decisions.experts.placement import plan_even_shares
+from nutmegslip_decisions.experts.placement import (
+    is_copied_fast,
+    moves_per_layer,
+    plan_even_shares,
+)
 from nutmegslip_decisions.experts.rollout._orders import unconfirmed_orders
 from nutmegslip_decisions.experts.rollout._outcomes import on_outcome
 from nutmegslip_decisions.experts.rollout._phases import (
@@ -63,10 +67,12 @@
 MAX_SWITCH_LEAD_PASSES = 12  # also while the time of a pass is unknown
 MIN_SWITCH_LEAD_PASSES = 2  # the order to hold takes some ms
 PASS_SMOOTHING = 0.5  # weight of a new measurement
+PASS_WINDOW_MS = 500  # the lag of reports varies by some tens of ms
 PREPARE_TIMEOUT_MS = 6_000
 CHANGE_TIMEOUT_MS = 10_000  # includes a second for the switch and late orders
 CHANGE_INTERVAL_MS = 300  # between two changes
 MIN_GAIN_SHARE = 0.15  # of the busiest ranks' work; copying slows passes by 15 %
+MIN_FAST_GAIN_SHARE = 0.25  # else a plan from counts of half a shift delays the next
 
 
 def reduce(state: State, event: Event) -> Transition:
@@ -119,15 +125,20 @@
     ):
         return state
     options = state.options
+    ranks, layers = len(state.group.ranks), len(state.layout)
+    moves = moves_per_layer(ranks, layers, options.copy_ms)
     plans = [
-        plan_even_shares(slots, layer, options.places, options.spare, options.copy_ms)
+        plan_even_shares(
+            slots, layer, options.places, options.spare, options.copy_ms, moves
+        )
         for slots, layer in zip(state.layout, loads, strict=True)
     ]
     peak_before = sum(plan.peak_before for plan in plans)
     gain = (
         1 - sum(plan.peak_after for plan in plans) / peak_before if peak_before else 0.0
     )
-    if gain < MIN_GAIN_SHARE:
+    is_fast = is_copied_fast(layers, options.spare, options.copy_ms)
+    if gain < (MIN_FAST_GAIN_SHARE if is_fast else MIN_GAIN_SHARE):
         return state
     version = next_version(state)
     layout = tuple(plan.slots for plan in plans)
@@ -150,22 +161,34 @@
 
 
 def _with_report(state: State, rank: str, report: RankReport, now_ms: Millis) -> State:
-    """Store a report, and measure the time of a pass since the one before."""
-    old = state.reports.get(rank)
-    pass_ms = state.pass_ms
-    if old is not None and report.step > old[1].step:
-        measured_ms = (now_ms - old[0]) / (report.step - old[1].step)
-        pass_ms += PASS_SMOOTHING * (measured_ms - pass_ms) if pass_ms else measured_ms
-    return state._replace(
-        reports=state.reports.set(rank, (now_ms, report)), pass_ms=pass_ms
-    )
+    """Store a report, and measure the time of a pass.
+
+    Two reports that follow each other closely say little of it, as their lags differ.
+    """
+    state = state._replace(reports=state.reports.set(rank, (now_ms, report)))
+    if state.pass_seen is None:
+        return state._replace(pass_seen=(now_ms, report.step))
+    seen_ms, step = state.pass_seen
+    if now_ms < seen_ms + PASS_WINDOW_MS or report.step < step:
+        return state
+    state = state._replace(pass_seen=(now_ms, report.step))
+    if report.step == step:
+        return state  # an idle group makes no passes
+    measured_ms = (now_ms - seen_ms) / (report.step - step)
+    change_ms = measured_ms - state.pass_ms
+    pass_ms = state.pass_ms + PASS_SMOOTHING * change_ms
+    return state._replace(pass_ms=pass_ms if state.pass_ms else measured_ms)
 
 
 def _reports_due_ms(state: State) -> Millis:
     """Return when reports are to be read again."""
     match state.phase:
         case Idle():
-            due_ms = state.reports_requested_ms + IDLE_REPORT_INTERVAL_MS
+            is_held = any(r.held is not None for _, r in state.reports.values())
+            interval_ms = (
+                CHANGE_REPORT_INTERVAL_MS if is_held else IDLE_REPORT_INTERVAL_MS
+            )
+            due_ms = state.reports_requested_ms + interval_ms
             if state.reports_requested_ms < state.trusted_from_ms:
                 return min(due_ms, state.trusted_from_ms)
             return due_ms
