Send prepare orders to ranks on kept connections

Ruled out: kept connections for all orders. Answers of /order carry no id (504 of 202 and 518 of 200 had none, although one was sent), so on a used connection a copy of an older answer could confirm an arm or a hold that never took place, and a pass could begin with two maps. The outcome of a prepare decides nothing while a change is being prepared: the ranks' reports tell when the copy is complete. The prepare that clears an abandoned change is confirmed by its answer and stays on a new one.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_orders.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_orders.py
@@ -30,7 +30,7 @@
                 if latest_report(state, rank) is None or (
                     latest_report(state, rank).prepared != version
                 ):
-                    yield rank, Prepare(version, layout)
+                    yield rank, Prepare(version, layout, reported=True)
         case Holding(holder=holder, step=step):
             yield holder, Hold(step)
         case Arming(version=version, step=step, armed=armed):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -40,11 +40,13 @@
 class Prepare:
     """An order to copy the experts that are new to the rank.
 
-    It replaces what the rank had prepared.
+    It replaces what the rank had prepared. ``reported`` is whether the rank's reports
+    tell that it is done, so that nothing depends on the answer to the order.
     """
 
     version: int
     layout: Layout
+    reported: bool = False
 
 
 @dataclass(frozen=True, slots=True)
