Prefer upstreams with an idle connection between equal loads

Cause: 13 entries before 72 ranks, each pair meets once in seven seconds, and of the sample of twelve the least loaded was taken at random among equals.

Now a new connection counts half a slot, less than a request and less than another availability zone. The reducer counts idle connections itself: a request that is sent takes the last one, one that ends says until when its own is kept. Only services with more than twelve upstreams that this entry meets less than once a second are chosen for so; the others get the same choices as before (tested).

Tests: seen failing with the half slot at 0 and at 2, and without the bound of twelve upstreams.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -17,6 +17,7 @@
 import xxhash
 
 from nutmegslip_decisions.direct._budget import load_of
+from nutmegslip_decisions.direct._connections import has_connection, meets_rarely
 from nutmegslip_decisions.direct._groups import is_usable
 from nutmegslip_decisions.direct._state import State, UpstreamStats
 from nutmegslip_decisions.direct._types import Request, Upstream
@@ -27,19 +28,22 @@
 )
 from nutmegslip_decisions.model import Millis
 
-DISTANT_ZONE_SLOTS = 1  # more evens the load less, and the ranks of a group share it
 SAMPLE_SIZE = 12  # of 72 upstreams; about 2 of 13 sends between reports collide
+NEW_CONNECTION_SLOTS = 0.5  # decides between equal loads only
+DISTANT_ZONE_SLOTS = 1  # more evens the load less, and the ranks of a group share it
 
 
 class Candidate(NamedTuple):
     """An upstream and the requests that all entries have in flight there.
 
-    ``is_limited`` is whether it names a rate, of which this entry has a request left.
+    ``is_limited`` is whether it names a rate, of which this entry has a request left,
+    ``opens_connection`` whether a request would open a connection that matters.
     """
 
     upstream: Upstream
     in_flight: int
     is_limited: bool = False
+    opens_connection: bool = False
 
     @property
     def load(self) -> float:
@@ -49,10 +53,15 @@
     def cost(self, zone: str) -> float:
         """Return the load, one slot higher in another availability zone.
 
+        It is half a slot higher where a connection has to be opened.
+
         A share of a named rate is used wherever the upstream is; it is small.
         """
         distant = self.upstream.zone != zone and not self.is_limited
-        return self.load + distant * DISTANT_ZONE_SLOTS / self.upstream.slots
+        slots = (
+            distant * DISTANT_ZONE_SLOTS + self.opens_connection * NEW_CONNECTION_SLOTS
+        )
+        return self.load + slots / self.upstream.slots
 
     @property
     def is_full(self) -> bool:
@@ -113,6 +122,7 @@
     pauses: list[Millis] = []
     shares = limit_shares(state, now_ms)
     limited = False
+    rare = meets_rarely(state, service, now_ms)
     for upstream, stats in _usable_upstreams(state, service, now_ms):
         if stats.paused_until_ms > now_ms:
             pauses.append(stats.paused_until_ms)
@@ -126,7 +136,8 @@
         if cold_limit is not None and stats.sent.count(now_ms) >= cold_limit:
             continue
         if has_credit(state, stats, share, now_ms):
-            candidates.append(Candidate(upstream, in_flight, share is not None))
+            opens = rare and not has_connection(stats, now_ms)
+            candidates.append(Candidate(upstream, in_flight, share is not None, opens))
     open_slots = {
         group: count * load.open_shares.get(group, 1.0)
         for group, count in slots.items()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -2,6 +2,7 @@
 
 from nutmegslip_decisions.direct._budget import count_retry, retry_budget
 from nutmegslip_decisions.direct._choice import Capacity, capacity_of, choose
+from nutmegslip_decisions.direct._connections import with_connection_taken
 from nutmegslip_decisions.direct._crash_parts import (
     Gate,
     blame_delay_ms,
@@ -62,6 +63,7 @@
     )
     stats = state.stats_of(upstream_id)
     stats = with_credit_spent(state, upstream, stats, now_ms)
+    stats = with_connection_taken(stats, request)
     updated = stats._replace(in_flight=stats.in_flight + 1, sent=stats.sent.add(now_ms))
     state = state._replace(
         requests=state.requests.set(request.ticket, sent),
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -237,11 +237,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
-    """A request got its final answer, or its caller disconnected."""
+    """A request got its final answer, or its caller disconnected.
+
+    ``kept_until_ms`` is until when the connection of the last attempt is kept, 0 if it
+    was closed.
+    """
 
     now_ms: Millis
     ticket: int
     answered: bool
+    kept_until_ms: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -87,10 +87,10 @@
         case PaceMeasured(now_ms, service, group, gap_ms):
             paced = with_pace(state, service, group, gap_ms)
             return dispatch(paced, service, now_ms)
-        case RequestEnded(now_ms, ticket, answered):
+        case RequestEnded(now_ms, ticket):
             if ticket in state.unadmitted:
                 return without_unadmitted(state, ticket), ()
-            return finish(state, ticket, answered, now_ms)
+            return finish(state, event)
         case Tick(now_ms):
             return _tick(state, now_ms)
         case PeerReported(now_ms, peer, in_flight, parts, standing, spending, limits):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -3,6 +3,7 @@
 import xxhash
 
 from nutmegslip_decisions.direct._budget import count_arrival, load_of
+from nutmegslip_decisions.direct._connections import with_connection_kept
 from nutmegslip_decisions.direct._crash_parts import (
     is_suspected,
     with_arrived_parts,
@@ -26,6 +27,7 @@
     NotSent,
     RefusalKind,
     Refuse,
+    RequestEnded,
 )
 from nutmegslip_decisions.direct._failures import (
     may_have_executed,
@@ -171,24 +173,25 @@
             return False
 
 
-def finish(state: State, ticket: int, answered: bool, now_ms: Millis) -> Step:
+def finish(state: State, event: RequestEnded) -> Step:
     """Free the slot of an ended request, and send queued requests."""
-    request = state.requests.get(ticket)
+    now_ms, request = event.now_ms, state.requests.get(event.ticket)
     if request is None:
         return state, ()
     if request.upstream:
-        if answered:
-            state = _with_answer_recorded(state, request, now_ms)
+        if event.answered:
+            state = _with_answer_recorded(state, request, event)
         state = _with_slot_released(state, request)
     return dispatch(remove_request(state, request), request.service, now_ms)
 
 
-def _with_answer_recorded(state: State, request: Request, now_ms: Millis) -> State:
+def _with_answer_recorded(state: State, request: Request, event: RequestEnded) -> State:
     load = load_of(state, request.service)
-    held_ms = now_ms - request.sent_at_ms
+    held_ms = event.now_ms - request.sent_at_ms
     hold_ms = load.hold_ms + SMOOTHING * (held_ms - load.hold_ms)
     loads = state.loads.set(request.service, load._replace(hold_ms=hold_ms))
     stats = state.stats_of(request.upstream)._replace(failures=0)
+    stats = with_connection_kept(stats, event.kept_until_ms, event.now_ms)
     upstream_stats = state.upstream_stats.set(request.upstream, stats)
     return state._replace(loads=loads, upstream_stats=upstream_stats)
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -29,7 +29,8 @@
     """Statistics of an upstream from this entry's own attempts.
 
     ``credit`` is what was left at ``credit_ms`` of its share of the rate that the
-    upstream names. Until ``avoid_until_ms`` others are preferred to it; until
+    upstream names. ``idle_until`` holds until when each idle connection to it is kept,
+    the last used last. Until ``avoid_until_ms`` others are preferred to it; until
     ``paused_until_ms``, which the upstream itself asked for, nothing is sent to it.
     """
 
@@ -40,6 +41,7 @@
     paused_until_ms: Millis = 0
     credit: float = 0.0
     credit_ms: Millis = 0
+    idle_until: tuple[Millis, ...] = ()
 
 
 _NO_STATS = UpstreamStats()
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -91,7 +91,9 @@
         finally:
             # Free the slot or queue place even if the caller has disconnected.
             self._machine.dispatch(
-                RequestEnded(self._machine.clock(), ticket, answered)
+                RequestEnded(
+                    self._machine.clock(), ticket, answered, exchange.kept_until_ms
+                )
             )
 
     def _arrival(
@@ -132,6 +134,7 @@
         self._http_request = http_request
         self._events = EventSplitter()
         self._failed_answer: _CompleteAnswer | None = None
+        self.kept_until_ms = 0
 
     def run(self, arrival: CallerRequest) -> bool:
         """Execute the reducer's steps; return whether an upstream answered."""
@@ -184,6 +187,7 @@
         """Send to one upstream and forward its answer; return the failure, if any."""
         route = request.route
         fresh = route.kind is RequestKind.NON_IDEMPOTENT
+        self.kept_until_ms = 0
         try:
             connection = self._pool.acquire(upstream, request.deadline_ms, fresh=fresh)
         except NotConnected as error:
@@ -198,7 +202,7 @@
             return Broken(str(error), closed=isinstance(error, ConnectionClosed))
         finally:
             if answer_read:
-                self._pool.release(upstream, connection)
+                self.kept_until_ms = self._pool.release(upstream, connection)
             else:
                 connection.close()
         return failure
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -1,18 +1,86 @@
 """Tests of kept connections to upstreams, without a network where possible."""
 
 import unittest
+from types import SimpleNamespace
 
 from gevent.server import StreamServer
 from immutables import Map
+from nutmegslip_platform._ranks import HttpRankClient
 
-from nutmegslip_decisions.direct import Options, Service, max_idle_connections
+from nutmegslip_decisions.direct import (
+    Options,
+    PeerReported,
+    RequestEnded,
+    Service,
+    max_idle_connections,
+)
+from nutmegslip_decisions.experts.rollout import Arm, Disarm, Hold, Prepare, Release
 from nutmegslip_entry.direct import Pool
 from nutmegslip_runtime.clock import boottime_ms
-from nutmegslip_runtime.http1 import encode_request
+from nutmegslip_runtime.http1 import NotConnected, encode_request
 from tests.direct_world import World, configuration, upstream
 
+LIFE_MS = 8_500
+
+
+class PreferenceTests(unittest.TestCase):
+    """Guard against a new connection for nearly each request in a large fleet."""
+
+    def test_most_requests_find_a_kept_connection(self):
+        upstreams = [upstream(f"m{n}", "model", slots=10) for n in range(72)]
+        options = Options("entry-1", budget_slack=100.0, entries=13)
+        world = World(*upstreams, options=options)
+        loads = Map({one.id: 3 for one in upstreams})
+        world.take(PeerReported(world.now_ms, "other", loads))
+        idle: dict[str, list[int]] = {}
+        running: list[tuple[int, int, str]] = []
+        opened = 0
+        for number in range(400):
+            world.now_ms += 100
+            while running and running[0][0] <= world.now_ms:
+                _, ticket, name = running.pop(0)
+                until_ms = world.now_ms + LIFE_MS
+                idle.setdefault(name, []).append(until_ms)
+                world.take(RequestEnded(world.now_ms, ticket, True, until_ms))
+            (effect,) = world.arrive("/verses/1", request_id=f"p{number}")
+            name = effect.upstream.id
+            kept = [until for until in idle.get(name, ()) if until > world.now_ms]
+            opened += not kept
+            idle[name] = kept[:-1]
+            running.append((world.now_ms + 1_900, world.tickets, name))
+        self.assertLess(opened, 100)
+
+    def test_choices_of_a_small_service_are_as_before(self):
+        for count, changes in ((12, False), (72, True)):
+            with self.subTest(count=count):
+                chosen = [self._choices(count, kept=kept) for kept in (False, True)]
+                self.assertEqual(chosen[0] != chosen[1], changes)
+
+    def _choices(self, count: int, *, kept: bool) -> list[str]:
+        """Return who gets single requests, after ones whose connections are kept."""
+        upstreams = [upstream(f"m{n}", "model", slots=10) for n in range(count)]
+        world = World(*upstreams, options=Options("entry-1", entries=13))
+        chosen = []
+        for number in range(40):
+            world.now_ms += 1_100
+            (effect,) = world.arrive("/verses/1", request_id=f"c{number}")
+            until_ms = world.now_ms + LIFE_MS if kept else 0
+            world.take(RequestEnded(world.now_ms, world.tickets, True, until_ms))
+            chosen.append(effect.upstream.id)
+        return chosen
+
+    def test_less_load_goes_before_a_kept_connection(self):
+        upstreams = [upstream(f"m{n}", "model", slots=5) for n in range(13)]
+        world = World(*upstreams, options=Options("entry-1", entries=2))
+        (effect,) = world.arrive("/verses/1")
+        ended = RequestEnded(world.now_ms, world.tickets, True, world.now_ms + LIFE_MS)
+        world.take(ended)
+        first = effect.upstream.id
+        loads = Map({first: 1})
+        world.take(PeerReported(world.now_ms, "other", loads))
+        others = {world.arrive("/verses/1")[0].upstream.id for _ in range(6)}
+        self.assertNotIn(first, others)
 
-class LimitTests(unittest.TestCase):
     def test_the_connections_of_all_entries_leave_room_for_requests(self):
         services = Map({"model": Service("model", connection_limit=440)})
         for entries, expected in ((1, 8), (13, 8), (100, 2), (330, 1)):
@@ -78,5 +146,24 @@
         self.assertEqual(self.accepted, 3)
 
 
+class OrderTests(unittest.TestCase):
+    """Guard against a copy of an older answer that confirms an order."""
+
+    def test_only_orders_that_reports_confirm_use_kept_connections(self):
+        used = []
+
+        def acquire(*_, fresh):
+            used.append(fresh)
+            raise NotConnected("")
+
+        log = SimpleNamespace(emit=lambda *_, **__: None)
+        pool = SimpleNamespace(acquire=acquire)
+        client = HttpRankClient(pool, boottime_ms, log, lambda *_: None)
+        orders = (Prepare(1, ()), Arm(1, 2), Hold(2), Release(2), Disarm(1))
+        for order in (Prepare(1, (), reported=True), *orders):
+            client.send_order(upstream("m1"), 1, 1, order)
+        self.assertEqual(used, [False, True, True, True, True, True])
+
+
 if __name__ == "__main__":
     unittest.main()
