--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -52,6 +52,12 @@
             ["service"],
             registry=self.registry,
         )
+        self._connections = Gauge(
+            "nutmegslip_upstream_connections",
+            "Uses of a connection to an upstream since the start: opened or reused.",
+            ["use"],
+            registry=self.registry,
+        )
         self._limited_upstreams = Gauge(
             "nutmegslip_limited_upstreams",
             "Upstreams that name a limit on the requests that they take.",
@@ -71,6 +77,11 @@
         """Record the duration of one served request."""
         self._request_seconds.observe(milliseconds / 1_000)
 
+    def update_connections(self, opened: int, reused: int) -> None:
+        """Set the counts of connections that were opened and reused."""
+        self._connections.labels("opened").set(opened)
+        self._connections.labels("reused").set(reused)
+
     def update_gauges(self, state: State, store_calls: int, now_ms: Millis) -> None:
         """Set the gauges from a state."""
         configuration = state.configuration
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
@@ -24,6 +24,8 @@
         self._clock = clock
         self._max_idle = max_idle
         self._idle: dict[tuple, list[ClientConnection]] = defaultdict(list)
+        self.opened = 0
+        self.reused = 0
 
     def acquire(
         self, upstream: Upstream, deadline_ms: int, *, fresh: bool
@@ -36,8 +38,10 @@
         while idle and not fresh:
             connection = idle.pop()
             if connection.idle_until_ms > self._clock() and connection.is_reusable:
+                self.reused += 1
                 return connection
             connection.close()
+        self.opened += 1
         timeout_ms = min(CONNECT_TIMEOUT_MS, deadline_ms - self._clock())
         return ClientConnection.connect(
             upstream.host, upstream.port, max(timeout_ms, 1) / 1_000, self._clock
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -144,6 +144,7 @@
         self.pool.close_expired()
         self._call()
         self.assertEqual(self.accepted, 3)
+        self.assertEqual((self.pool.opened, self.pool.reused), (3, 2))
 
 
 class OrderTests(unittest.TestCase):
