Let the fuzz of direct serving keep connections

The ends of requests in the fuzz said nothing of kept connections, so the counts in the state were never used there.

--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -186,7 +186,9 @@
         request = self._pick(number, pick)
         if request is not None:
             self.answered.add((number, request.ticket))
-            self._take(number, RequestEnded(self.now_ms, request.ticket, answered))
+            kept_until_ms = self.now_ms + 8_500 if answered else 0
+            ended = RequestEnded(self.now_ms, request.ticket, answered, kept_until_ms)
+            self._take(number, ended)
 
     @rule(step_ms=st.sampled_from((1, 40, 300, 1_100, 5_000)))
     def wait(self, step_ms):
