Give scarce slots to the urgent, to each account, and by demand

Cause: priority ordered only the queue of one entry, where streams hardly ever wait, so the most urgent of a service earned least; no account was known under load; a predicted wait took all entries to get as many requests.

Ruled out: predicting the wait of the less urgent and of accounts over their share from what is left to them. Slots left by an account over its share for what may arrive: a tenth of them idle.

The tests replay bursts of each kind and four times the load of one large and 23 small accounts over four entries. Mutations seen red: no headroom, accounts ignored, even split, no floor.

One commit for three parts, since they share the counts and the order of the queue.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -2,6 +2,7 @@
 
 from nutmegslip_decisions.direct._budget import RetryBudget, retry_budget
 from nutmegslip_decisions.direct._crash_parts import SUSPECT_CRASHES, part_report
+from nutmegslip_decisions.direct._demand_report import demand_report
 from nutmegslip_decisions.direct._event_splitter import EventSplitter
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
@@ -58,10 +59,12 @@
     Account,
     CallerRequest,
     Configuration,
+    Demand,
     EndedProcess,
     EngineModel,
     ExpertLayout,
     GroupRank,
+    Measure,
     NamedLimit,
     Request,
     RequestKind,
@@ -86,6 +89,7 @@
     "Crash",
     "Declined",
     "DeliverFailure",
+    "Demand",
     "Effect",
     "EndedProcess",
     "EngineModel",
@@ -96,6 +100,7 @@
     "Failure",
     "GroupRank",
     "ListingRead",
+    "Measure",
     "NamedLimit",
     "NotSent",
     "Options",
@@ -134,6 +139,7 @@
     "UpstreamRemoved",
     "Verdict",
     "ZonesOut",
+    "demand_report",
     "fresh_peers",
     "highest_fence",
     "is_paused",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -67,13 +67,20 @@
     free open slot; ``slots`` counts the open slots of all usable upstreams, whether
     taken or free; of those that name a rate, as many as the rate keeps busy.
     ``resume_ms`` is when the first paused upstream accepts requests again, None if none
-    is paused. ``is_limited`` is whether an upstream names a rate.
+    is paused. ``is_limited`` is whether an upstream names a rate. ``taken`` counts the
+    requests that all entries have in flight at usable upstreams.
     """
 
     candidates: tuple[Candidate, ...]
     slots: float
     resume_ms: Millis | None = None
     is_limited: bool = False
+    taken: int = 0
+
+    @property
+    def free_slots(self) -> float:
+        """Return the open slots that no entry uses."""
+        return self.slots - self.taken
 
     @property
     def is_paused(self) -> bool:
@@ -144,6 +151,7 @@
         ),
         min(pauses, default=None),
         limited,
+        taken.total(),
     )
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -8,13 +8,17 @@
     part_gate,
     with_probe,
 )
+from nutmegslip_decisions.direct._demand import queued, with_attempt, with_refusal
 from nutmegslip_decisions.direct._events import Effect, RefusalKind, Refuse, Send
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
 from nutmegslip_decisions.direct._upstream_shares import with_credit_spent
+from nutmegslip_decisions.direct._urgency import has_room
 from nutmegslip_decisions.direct._waiting import (
     dequeue,
+    dispatch_order,
     enqueue,
+    is_due,
     latest_send_ms,
     predicted_wait_ms,
     retry_delay_ms,
@@ -32,7 +36,8 @@
     if gate is Gate.CLOSED:
         return refuse(state, request, _crashing_kind(state, request), now_ms)
     capacity = capacity_of(state, request.service, now_ms)
-    if gate is Gate.OPEN and not _has_sendable(state, request.service, now_ms):
+    may_pass = gate is Gate.OPEN and not _has_sendable(state, capacity, request, now_ms)
+    if may_pass and has_room(state, request, capacity, now_ms):
         upstream = choose(state, capacity, request, now_ms)
         if upstream is not None:
             return send(state, request, upstream.id, now_ms)
@@ -60,6 +65,7 @@
         tried=request.tried | {upstream_id},
         sends=request.sends + 1,
     )
+    state = with_attempt(state, request, now_ms)
     stats = state.stats_of(upstream_id)
     stats = with_credit_spent(state, upstream, stats, now_ms)
     updated = stats._replace(in_flight=stats.in_flight + 1, sent=stats.sent.add(now_ms))
@@ -70,14 +76,26 @@
     return state, (Send(sent, upstream),)
 
 
-def _has_sendable(state: State, service: str, now_ms: Millis) -> bool:
+def _has_sendable(
+    state: State, capacity: Capacity, request: Request, now_ms: Millis
+) -> bool:
     """Return whether a queued request waits for a slot and nothing else."""
     return any(
-        _is_sendable(state, state.requests[ticket], now_ms)
-        for ticket in state.waiting.get(service, ())
+        _is_sendable(state, waiting, now_ms)
+        and _may_take(state, waiting, capacity, now_ms)
+        for waiting in queued(state, request.service)
     )
 
 
+def _may_take(
+    state: State, request: Request, capacity: Capacity, now_ms: Millis
+) -> bool:
+    """Return whether a queued request may take one of the free slots."""
+    if has_room(state, request, capacity, now_ms):
+        return True
+    return is_due(state, request, capacity, now_ms)
+
+
 def _is_sendable(state: State, request: Request, now_ms: Millis) -> bool:
     """Return whether a queued request may be sent as soon as a slot is free."""
     if part_gate(state, request, now_ms) is not Gate.OPEN:
@@ -100,11 +118,10 @@
 def dispatch(state: State, service: str, now_ms: Millis) -> Step:
     """Send queued requests of a service by priority, while slots are free."""
     effects: tuple[Effect, ...] = ()
-    queue = state.waiting.get(service)
-    if not queue:
+    if not state.waiting.get(service):
         return state, effects
     capacity = capacity_of(state, service, now_ms)
-    for ticket in queue:
+    for ticket in dispatch_order(state, service, capacity, now_ms):
         if not capacity.candidates:
             break
         request = state.requests[ticket]
@@ -112,6 +129,8 @@
             continue  # expired, as after a suspension; the next tick refuses it
         if not _is_sendable(state, request, now_ms):
             continue
+        if not _may_take(state, request, capacity, now_ms):
+            continue  # the slots that are free are for requests before it
         upstream = choose(state, capacity, request, now_ms)
         if upstream is None:
             continue  # it has tried the free upstreams; a later one may use them
@@ -180,6 +199,8 @@
     if not ran and kind in _CRASHING_KINDS:
         wait_ms = blame_delay_ms(state, request, now_ms)
     elif not ran:
+        if kind is RefusalKind.OVERLOADED:
+            state = with_refusal(state, request, now_ms)
         capacity = capacity_of(state, request.service, now_ms)
         wait_ms = retry_delay_ms(state, request, capacity, now_ms)
     return remove_request(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -10,6 +10,7 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    Demand,
     NamedLimit,
     Request,
     SpendingReport,
@@ -22,6 +23,7 @@
 _NO_STANDING = Standing()
 _NO_SPENDING = SpendingReport()
 _NO_LIMITS: Map[str, NamedLimit] = Map()
+_NO_DEMAND: Demand = Map()
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +152,7 @@
     standing: Standing = _NO_STANDING
     spending: SpendingReport = _NO_SPENDING
     limits: Map[str, NamedLimit] = _NO_LIMITS
+    demand: Demand = _NO_DEMAND
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_peers.py
@@ -1,4 +1,4 @@
-"""Sum the requests that other entries have in flight at each upstream.
+"""Sum the requests that other entries have in flight, and the demand they report.
 
 Answers the load pattern in which hundreds of entries report ten times a second: a
 report changes the totals by its difference from the previous one, so that a choice
@@ -8,6 +8,8 @@
 counting each other among those that share the limits for longer than a partition lasts.
 """
 
+from typing import TypeVar
+
 from immutables import Map
 
 from nutmegslip_decisions.direct._part_evidence import with_inherited
@@ -22,6 +24,8 @@
 EXPIRE_AFTER_MS = 10_000  # without a report; the peer is then taken for gone
 UNSHARE_AFTER_MS = 60_000  # its share of the limits then goes to the others
 
+_Key = TypeVar("_Key")
+
 
 def with_report(state: State, peer: str, report: PeerReport) -> State:
     """Replace the last report of a peer."""
@@ -29,11 +33,15 @@
     peer_in_flight = _with_counts_replaced(
         state.peer_in_flight, old.in_flight if old else Map(), report.in_flight
     )
+    peer_demand = _with_counts_replaced(
+        state.peer_demand, old.demand if old else Map(), report.demand
+    )
     state = with_spending_report(state, peer, old, report.spending, report.received_ms)
     return state._replace(
         peers=state.peers.set(peer, report),
         sharing=state.sharing.set(peer, report.received_ms),
         peer_in_flight=peer_in_flight,
+        peer_demand=peer_demand,
     )
 
 
@@ -43,12 +51,16 @@
         if report.received_ms + STALE_AFTER_MS > now_ms:
             continue
         state = with_silent_peer(state, peer, report)
-        if report.in_flight:
+        if report.in_flight or report.demand:
+            silent = report._replace(in_flight=Map(), demand=Map())
             state = state._replace(
-                peers=state.peers.set(peer, report._replace(in_flight=Map())),
+                peers=state.peers.set(peer, silent),
                 peer_in_flight=_with_counts_replaced(
                     state.peer_in_flight, report.in_flight, Map()
                 ),
+                peer_demand=_with_counts_replaced(
+                    state.peer_demand, report.demand, Map()
+                ),
             )
         if report.received_ms + EXPIRE_AFTER_MS < now_ms:
             parts = with_inherited(state.parts, report.parts.crashes)
@@ -69,14 +81,14 @@
 
 
 def _with_counts_replaced(
-    totals: Map[str, int], old: Map[str, int], new: Map[str, int]
-) -> Map[str, int]:
+    totals: Map[_Key, int], old: Map[_Key, int], new: Map[_Key, int]
+) -> Map[_Key, int]:
     with totals.mutate() as changed:
-        for upstream_id, count in old.items():
-            changed[upstream_id] = changed.get(upstream_id, 0) - count
-        for upstream_id, count in new.items():
-            changed[upstream_id] = changed.get(upstream_id, 0) + count
-        for upstream_id in old:
-            if not changed.get(upstream_id):
-                changed.pop(upstream_id, None)
+        for key, count in old.items():
+            changed[key] = changed.get(key, 0) - count
+        for key, count in new.items():
+            changed[key] = changed.get(key, 0) + count
+        for key in old:
+            if not changed.get(key):
+                changed.pop(key, None)
         return changed.finish()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -4,6 +4,7 @@
     with_part_report,
     without_expired_parts,
 )
+from nutmegslip_decisions.direct._demand import without_expired_demand
 from nutmegslip_decisions.direct._departures import (
     with_announcement,
     with_other_announcement,
@@ -37,6 +38,7 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._fair_shares import with_fair_shares
 from nutmegslip_decisions.direct._named_limits import (
     with_named_limit,
     with_reported_limits,
@@ -95,7 +97,9 @@
             return _tick(state, now_ms)
         case PeerReported(now_ms, peer, in_flight, parts, standing, spending, limits):
             old = state.peers.get(peer)
-            report = PeerReport(now_ms, in_flight, parts, standing, spending)
+            report = PeerReport(
+                now_ms, in_flight, parts, standing, spending, event.demand
+            )
             state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
@@ -147,6 +151,7 @@
     state = without_expired_parts(state, now_ms)
     state = without_expired_ends(state, now_ms)
     state = without_expired_limits(state, now_ms)
+    state = with_fair_shares(without_expired_demand(state, now_ms), now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -10,6 +10,7 @@
     with_crashed_attempt,
     with_upstream_gone,
 )
+from nutmegslip_decisions.direct._demand import with_arrival, without_attempt
 from nutmegslip_decisions.direct._dispatch import (
     Step,
     dispatch,
@@ -32,6 +33,7 @@
     may_retry,
     stats_after_failure,
 )
+from nutmegslip_decisions.direct._fair_shares import is_over_share
 from nutmegslip_decisions.direct._groups import with_suspicion, without_suspicion
 from nutmegslip_decisions.direct._routes import pick_service, priority_of
 from nutmegslip_decisions.direct._state import State
@@ -56,6 +58,8 @@
         return state, (Refuse(caller_request.ticket, RefusalKind.UNKNOWN_KEY, False),)
     request = _admitted_request(caller_request, route, account, arrived_ms)
     state = count_arrival(state, request.service, now_ms)
+    if not is_over_share(state, request):
+        state = with_arrival(state, request, now_ms)
     state = state._replace(requests=state.requests.set(request.ticket, request))
     state = with_arrived_parts(state, request, now_ms)
     return send_or_queue(state, request, now_ms)
@@ -196,6 +200,6 @@
 def _with_slot_released(state: State, request: Request) -> State:
     stats = state.stats_of(request.upstream)
     freed = stats._replace(in_flight=stats.in_flight - 1)
-    return state._replace(
+    return without_attempt(state, request)._replace(
         upstream_stats=state.upstream_stats.set(request.upstream, freed)
     )
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
@@ -14,6 +14,17 @@
         self._routes: dict[tuple[str, str], Route] = {
             (route.host, route.prefix): route for route in configuration.routes
         }
+        priorities: dict[str, set[int]] = {}
+        for route in configuration.routes:
+            for target in route.targets:
+                priorities.setdefault(target.service, set()).add(route.priority)
+        self._priorities = {
+            service: tuple(sorted(found)) for service, found in priorities.items()
+        }
+
+    def priorities(self, service: str) -> tuple[int, ...]:
+        """Return the priorities of the routes to a service, the most urgent first."""
+        return self._priorities.get(service, ())
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request, None if there is none.
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -10,6 +10,8 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    Demand,
+    DemandKey,
     EndedProcess,
     NamedLimit,
     Request,
@@ -53,6 +55,18 @@
     parts: PartReport = PartReport()
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
+    demand: Demand = Map()
+
+
+class OwnDemand(NamedTuple):
+    """What this entry counts of the requests at each service.
+
+    ``in_flight`` are those at upstreams, ``recent`` those that arrived, were sent or
+    were refused of late.
+    """
+
+    in_flight: Map[DemandKey, int] = Map()
+    recent: Map[DemandKey, Window] = Map()
 
 
 class Process(NamedTuple):
@@ -122,7 +136,9 @@
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
-    upstream. ``sharing`` are the other entries that share the limits of the fleet, also
+    upstream, ``peer_demand`` the sum of the demand that they report. ``fair_slots`` are
+    the slots that an account may hold before others, by service, where slots are
+    scarce. ``sharing`` are the other entries that share the limits of the fleet, also
     those not heard for a while, with the time of their last report. ``ended`` are the
     processes of entries that have ended or may have, by id; ``records`` is None until
     complete records of them were received.
@@ -158,6 +174,9 @@
     named_limits: Map[str, NamedLimit] = Map()
     peers: Map[str, PeerReport] = Map()
     peer_in_flight: Map[str, int] = Map()
+    demand: OwnDemand = OwnDemand()
+    peer_demand: Demand = Map()
+    fair_slots: Map[str, float] = Map()
     sharing: Map[str, Millis] = Map()
     ended: Map[int, EndedProcess] = Map()
     records: RecordsReceived | None = None
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -212,6 +212,25 @@
     ended: Map[int, EndedProcess] = Map()
 
 
+class Measure(StrEnum):
+    """What a count of demand counts, and by which name."""
+
+    ENTRIES = "entries"  # that report their demand
+    WEIGHT = "weight"  # of an entry: what waits and was sent of late
+    SHORT = "short"  # entries where requests wait or were refused of late
+    ARRIVED = "arrived"  # of late, of accounts under their fair share, by priority
+    WAITING = "waiting"  # likewise
+    HELD = "held"  # in flight, by priority
+    USED = "used"  # in flight, by account
+    WANTED = "wanted"  # slots for what waits or was refused of late, by account
+    SENT = "sent"  # of late; not reported
+    REFUSED = "refused"  # of late, by account; not reported
+
+
+DemandKey = tuple[str, Measure, str]  # service, what is counted, name or empty
+Demand = Map[DemandKey, int]
+
+
 class CallerRequest(NamedTuple):
     """A request as received from a caller, before admission.
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
@@ -1,9 +1,9 @@
 """Queue requests for a slot, and predict waits and retry delays.
 
 Answers the load pattern in which more requests arrive than the slots can serve: the
-wait is predicted on arrival from the queue and the measured time that requests hold
-a slot. A request that would wait too long is refused at once, with a delay after
-which a slot is likely free.
+wait is predicted on arrival from the queue, the measured time that requests hold a
+slot, and this entry's share of the slots that become free. A request that would wait
+too long is refused at once, with a delay after which a slot is likely free.
 """
 
 import math
@@ -13,8 +13,15 @@
 
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._choice import Capacity
+from nutmegslip_decisions.direct._demand import entry_share, is_counted
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
+from nutmegslip_decisions.direct._urgency import (
+    Turn,
+    has_aged,
+    is_below_floor,
+    turn_of,
+)
 from nutmegslip_decisions.model import Millis
 
 MIN_RETRY_DELAY_MS = 200  # an earlier retry would find the same queue
@@ -50,8 +57,36 @@
         return None
     queue = state.waiting.get(request.service, ())
     ahead = sum(not _precedes(state, request, ticket) for ticket in queue)
+    if is_below_floor(state, request, capacity):
+        ahead = 0  # it goes first once it has aged
     free_every_ms = load_of(state, request.service).hold_ms / capacity.slots
-    return (ahead + 1) * free_every_ms * state.serving_count()
+    return (ahead + 1) * free_every_ms / entry_share(state, request.service, now_ms)
+
+
+def dispatch_order(
+    state: State, service: str, capacity: Capacity, now_ms: Millis
+) -> tuple[int, ...]:
+    """Return the queue of a service in the order in which its requests are sent.
+
+    A request that has aged goes first if its kind or account is below the floor.
+    """
+    queue = state.waiting.get(service, ())
+    if not is_counted(state, service):
+        return queue
+
+    def key(ticket: int) -> tuple[bool, Turn]:
+        request = state.requests[ticket]
+        first = is_due(state, request, capacity, now_ms)
+        return not first, turn_of(state, request)
+
+    return tuple(sorted(queue, key=key))
+
+
+def is_due(state: State, request: Request, capacity: Capacity, now_ms: Millis) -> bool:
+    """Return whether a request goes first, so that its kind or account gets a floor."""
+    if not has_aged(request, latest_send_ms(state, request), now_ms):
+        return False
+    return is_below_floor(state, request, capacity)
 
 
 def latest_send_ms(state: State, request: Request) -> Millis:
@@ -88,5 +123,4 @@
 
 
 def _precedes(state: State, request: Request, ticket: int) -> bool:
-    other = state.requests[ticket]
-    return (request.priority, request.arrived_ms) < (other.priority, other.arrived_ms)
+    return turn_of(state, request) < turn_of(state, state.requests[ticket])
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -131,6 +131,7 @@
     yield from _suspicion_lines(before, after)
     yield from _part_lines(before, after)
     yield from _limit_lines(before, after)
+    yield from _fair_share_lines(before, after)
     yield from (
         line
         for effect in effects
@@ -197,6 +198,19 @@
             )
 
 
+def _fair_share_lines(before: State, after: State) -> Iterator[LogLine]:
+    """Yield a line for each service whose slots became scarce, or are no longer."""
+    old, new = before.fair_slots, after.fair_slots
+    if old is new:
+        return
+    for service, slots in new.items():
+        if service not in old:
+            yield _log_line("fair-shares-begun", service=service, slots=round(slots, 1))
+    for service in old:
+        if service not in new:
+            yield _log_line("fair-shares-ended", service=service)
+
+
 def _part_lines(before: State, after: State) -> Iterator[LogLine]:
     """Yield a line for each prompt part whose suspicion or blame changed."""
     old, new = before.parts, after.parts
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -57,6 +57,12 @@
             "Upstreams that name a limit on the requests that they take.",
             registry=self.registry,
         )
+        self._fair_slots = Gauge(
+            "nutmegslip_fair_slots",
+            "Slots that an account gets before others, 0 while there are enough.",
+            ["service"],
+            registry=self.registry,
+        )
         self._blamed_parts = Gauge(
             "nutmegslip_blamed_parts",
             "Prompt parts that crash upstreams; requests with them are refused.",
@@ -82,6 +88,7 @@
         limits = state.named_limits.values()
         self._limited_upstreams.set(sum(limit.per_s is not None for limit in limits))
         for service in state.loads:
+            self._fair_slots.labels(service).set(state.fair_slots.get(service, 0))
             budget = retry_budget(state, service, now_ms)
             self._retries.labels(service).set(budget.retries)
             self._retries_allowed.labels(service).set(budget.allowed)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -1,4 +1,4 @@
-"""Exchange reports with other entries: requests in flight, suspect parts, limits.
+"""Exchange reports with other entries: requests, demand, suspect parts, limits.
 
 UDP fits better than TCP here: the next report replaces a lost one, and none is
 delayed behind an older one.
@@ -14,6 +14,7 @@
 from nutmegslip_decisions.direct import (
     PeerReported,
     Standing,
+    demand_report,
     limit_report,
     load_report,
     part_report,
@@ -84,6 +85,7 @@
                 report.standing,
                 report.spending,
                 report.limits,
+                report.demand,
             )
         )
 
@@ -97,7 +99,15 @@
             standing = self._standing()
             spending = spending_report(state, now_ms)
             limits = limit_report(state, now_ms)
-            current = load_report(state), part_report(state), standing, spending, limits
+            demand = demand_report(state, now_ms)
+            current = (
+                load_report(state),
+                part_report(state),
+                standing,
+                spending,
+                limits,
+                demand,
+            )
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
@@ -110,6 +120,7 @@
                 standing,
                 spending,
                 limits,
+                demand,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -13,7 +13,9 @@
 from nutmegslip_decisions.direct import (
     Blame,
     Crash,
+    Demand,
     EndedProcess,
+    Measure,
     NamedLimit,
     PartReport,
     SpendingReport,
@@ -21,6 +23,8 @@
 )
 from nutmegslip_decisions.model import Millis
 
+_MEASURES = frozenset(Measure)
+
 
 class ReportError(ValueError):
     """A datagram that is no report; look for another program that sends to the port."""
@@ -35,6 +39,7 @@
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
     limits: Map[str, NamedLimit] = Map()
+    demand: Demand = Map()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -65,7 +70,16 @@
     places = {
         part: [crash.place for crash in found] for part, found in parts.crashes.items()
     }
-    return cbor2.dumps([*encoded, fields, spending, limits, places])
+    demand = [None, _encode_demand(report.demand)] if report.demand else []
+    return cbor2.dumps([*encoded, fields, spending, limits, places, *demand])
+
+
+def _encode_demand(demand: Demand) -> dict[str, dict[str, dict[str, int]]]:
+    """Return counts of demand by service, measure and name, in few bytes."""
+    encoded: dict[str, dict[str, dict[str, int]]] = {}
+    for (service, measure, name), count in demand.items():
+        encoded.setdefault(service, {}).setdefault(str(measure), {})[name] = count
+    return encoded
 
 
 def _encode_spending(spending: SpendingReport, now_ms: Millis) -> list:
@@ -90,6 +104,7 @@
             Standing(bool(leads), bool(may_lead), int(fence)),
             _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
             _decode_limits(more[3], now_ms) if more[3:] else Map(),
+            _decode_demand(more[6]) if more[6:] else Map(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -166,5 +181,18 @@
     )
 
 
+def _decode_demand(demand: dict) -> Demand:
+    """Return counts of demand without those that only a later build knows."""
+    return Map(
+        {
+            (str(service), Measure(measure), str(name)): int(count)
+            for service, measures in demand.items()
+            for measure, counts in measures.items()
+            if measure in _MEASURES
+            for name, count in counts.items()
+        }
+    )
+
+
 def _decode_retries(retries: dict) -> Map[str, int]:
     return Map({str(service): int(count) for service, count in retries.items()})
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -272,6 +272,22 @@
         "Correct the value that the upstream sends: requests per second as a decimal.",
         ("upstream", "value"),
     ),
+    EventKind(
+        2036,
+        "fair-shares-begun",
+        Level.INFO,
+        "Slots of a service are scarce; each client account gets its fair share first.",
+        "If it persists, add upstreams; the heaviest accounts are refused most.",
+        ("service", "slots"),
+    ),
+    EventKind(
+        2037,
+        "fair-shares-ended",
+        Level.INFO,
+        "The slots of a service are enough for all accounts again.",
+        NO_REMEDY,
+        ("service",),
+    ),
     EventKind(
         2101,
         "request-sent",
