--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_fair_shares.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_fair_shares.py
@@ -24,6 +24,7 @@
 from nutmegslip_decisions.direct._types import Measure, Request
 from nutmegslip_decisions.model import Millis
 
+INTERVAL_MS = 200  # two reports; the level costs a look at all upstreams
 MIN_FAIR_SLOTS = 1.0  # any account may have one request in flight
 FAR_OVER = 2.0  # fair shares; beyond it urgency counts no longer
 
@@ -31,6 +32,9 @@
 def with_fair_shares(state: State, now_ms: Millis) -> State:
     """Determine the fair share of an account at each service where slots are scarce."""
     accounts = state.configuration and state.configuration.accounts
+    if now_ms < state.fair_until_ms:
+        return state
+    state = state._replace(fair_until_ms=now_ms + INTERVAL_MS)
     services = state.by_service if accounts is not None else ()
     found = {service: _fair_slots(state, service, now_ms) for service in services}
     fair_slots = Map({name: slots for name, slots in found.items() if slots})
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -256,7 +256,8 @@
     that arrived at an upstream, misdirected ones included. ``begun`` is whether the
     answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
     before it did. ``fingerprint`` is the same for a request that a caller sends again,
-    at whichever entry.
+    at whichever entry. ``returned`` is whether it was refused before
+    and promised this time.
     """
 
     ticket: int
@@ -278,6 +279,7 @@
     begun: bool = False
     met_crash: bool = False
     fingerprint: str = ""
+    returned: bool = False
 
     @property
     def subjects(self) -> tuple[str, ...]:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -18,6 +18,7 @@
     limit_report,
     load_report,
     part_report,
+    promise_report,
     spending_report,
 )
 from nutmegslip_entry.direct._reports import (
@@ -86,6 +87,7 @@
                 report.spending,
                 report.limits,
                 report.demand,
+                report.promises,
             )
         )
 
@@ -99,7 +101,7 @@
             standing = self._standing()
             spending = spending_report(state, now_ms)
             limits = limit_report(state, now_ms)
-            demand = demand_report(state, now_ms)
+            demand, promises = demand_report(state, now_ms), promise_report(state)
             current = (
                 load_report(state),
                 part_report(state),
@@ -107,6 +109,7 @@
                 spending,
                 limits,
                 demand,
+                promises,
             )
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
@@ -121,6 +124,7 @@
                 spending,
                 limits,
                 demand,
+                promises,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
