--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -48,9 +48,8 @@
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
-from nutmegslip_decisions.direct._returns import promise_report
 from nutmegslip_decisions.direct._spending import spending_report
-from nutmegslip_decisions.direct._state import Process, Promise, State
+from nutmegslip_decisions.direct._state import Process, State
 from nutmegslip_decisions.direct._store_position import (
     StorePosition,
     Verdict,
@@ -110,7 +109,6 @@
     "PartReport",
     "PeerReported",
     "Process",
-    "Promise",
     "RefusalKind",
     "Refuse",
     "Request",
@@ -151,7 +149,6 @@
     "load_report",
     "next_tenure",
     "part_report",
-    "promise_report",
     "reduce",
     "retry_budget",
     "spending_report",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_demand.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_demand.py
@@ -128,6 +128,7 @@
 
 
 def is_short_here(state: State, service: str, now_ms: Millis) -> bool:
+    """Return whether requests wait, or were refused of late, at this entry."""
     return bool(state.waiting.get(service)) or any(
         key[:2] == (service, Measure.REFUSED) and seen.count(now_ms)
         for key, seen in state.demand.recent.items()
@@ -135,6 +136,7 @@
 
 
 def used_here(state: State, service: str) -> Counter[str]:
+    """Return the requests that this entry has in flight, by account."""
     return Counter(
         {
             name: count
@@ -155,6 +157,7 @@
 
 
 def recent_count(state: State, key: DemandKey, now_ms: Millis) -> int:
+    """Return a count of this entry's own, of requests that arrived or were sent."""
     seen = state.demand.recent.get(key)
     return seen.count(now_ms) if seen is not None else 0
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -21,7 +21,7 @@
     is_due,
     latest_send_ms,
     predicted_wait_ms,
-    promise_return,
+    retry_delay_ms,
 )
 from nutmegslip_decisions.model import Millis
 
@@ -46,8 +46,7 @@
         limited = capacity.is_limited
         kind = RefusalKind.OVERLOADED if limited else RefusalKind.NO_UPSTREAM
         return refuse(state, request, kind, now_ms)
-    latest_ms = latest_send_ms(state, request, now_ms)
-    if not request.streaming and now_ms + wait_ms > latest_ms:
+    if not request.streaming and now_ms + wait_ms > latest_send_ms(state, request):
         return refuse(state, request, RefusalKind.OVERLOADED, now_ms)
     if _is_paused_past_deadline(request, capacity):
         return refuse(state, request, RefusalKind.OVERLOADED, now_ms)
@@ -183,7 +182,7 @@
         return _crashing_kind(state, request)
     # While every upstream is paused, no slot can become free before a pause ends.
     free_ms = capacity.resume_ms if capacity.is_paused else now_ms
-    if latest_send_ms(state, request, now_ms) <= free_ms and not request.streaming:
+    if latest_send_ms(state, request) <= free_ms and not request.streaming:
         return RefusalKind.OVERLOADED
     if _is_paused_past_deadline(request, capacity):
         return RefusalKind.OVERLOADED
@@ -203,7 +202,7 @@
         if kind is RefusalKind.OVERLOADED:
             state = with_refusal(state, request, now_ms)
         capacity = capacity_of(state, request.service, now_ms)
-        state, wait_ms = promise_return(state, request, capacity, now_ms)
+        wait_ms = retry_delay_ms(state, request, capacity, now_ms)
     return remove_request(state, request), (Refuse(request.ticket, kind, ran, wait_ms),)
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -7,7 +7,6 @@
 
 from nutmegslip_decisions.direct._options import Options
 from nutmegslip_decisions.direct._part_evidence import PartReport
-from nutmegslip_decisions.direct._state import Promise
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
@@ -25,7 +24,6 @@
 _NO_SPENDING = SpendingReport()
 _NO_LIMITS: Map[str, NamedLimit] = Map()
 _NO_DEMAND: Demand = Map()
-_NO_PROMISES: Map[str, Promise] = Map()
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +153,6 @@
     spending: SpendingReport = _NO_SPENDING
     limits: Map[str, NamedLimit] = _NO_LIMITS
     demand: Demand = _NO_DEMAND
-    promises: Map[str, Promise] = _NO_PROMISES
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -66,10 +66,6 @@
     without_copy,
     without_withheld,
 )
-from nutmegslip_decisions.direct._returns import (
-    with_reported_promises,
-    without_expired_promises,
-)
 from nutmegslip_decisions.direct._spending import without_expired_ends
 from nutmegslip_decisions.direct._starting import (
     admit_all,
@@ -108,7 +104,6 @@
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
             state = with_reported_limits(state, peer, limits)
-            state = with_reported_promises(state, event.promises)
             return dispatch_all(state, now_ms)
         case ConfigurationPublished(_, configuration):
             return with_configuration(state, configuration), ()
@@ -156,7 +151,6 @@
     state = without_expired_parts(state, now_ms)
     state = without_expired_ends(state, now_ms)
     state = without_expired_limits(state, now_ms)
-    state = without_expired_promises(state, now_ms)
     state = with_fair_shares(without_expired_demand(state, now_ms), now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -35,7 +35,6 @@
 )
 from nutmegslip_decisions.direct._fair_shares import is_over_share
 from nutmegslip_decisions.direct._groups import with_suspicion, without_suspicion
-from nutmegslip_decisions.direct._returns import with_return
 from nutmegslip_decisions.direct._routes import pick_service, priority_of
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Account, CallerRequest, Request, Route
@@ -61,8 +60,7 @@
     state = count_arrival(state, request.service, now_ms)
     if not is_over_share(state, request):
         state = with_arrival(state, request, now_ms)
-    state = with_return(state, request, now_ms)
-    request = state.requests[request.ticket]
+    state = state._replace(requests=state.requests.set(request.ticket, request))
     state = with_arrived_parts(state, request, now_ms)
     return send_or_queue(state, request, now_ms)
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_routes.py
@@ -14,24 +14,18 @@
         self._routes: dict[tuple[str, str], Route] = {
             (route.host, route.prefix): route for route in configuration.routes
         }
-        self._objectives: dict[str, dict[int, int]] = {}
+        priorities: dict[str, set[int]] = {}
         for route in configuration.routes:
             for target in route.targets:
-                found = self._objectives.setdefault(target.service, {})
-                known_ms = found.get(route.priority, 0)
-                found[route.priority] = max(known_ms, route.objective_ms)
+                priorities.setdefault(target.service, set()).add(route.priority)
         self._priorities = {
-            service: tuple(sorted(found)) for service, found in self._objectives.items()
+            service: tuple(sorted(found)) for service, found in priorities.items()
         }
 
     def priorities(self, service: str) -> tuple[int, ...]:
         """Return the priorities of the routes to a service, the most urgent first."""
         return self._priorities.get(service, ())
 
-    def objective_ms(self, service: str, priority: int) -> int:
-        """Return the longest objective of a service's routes with a priority."""
-        return self._objectives[service][priority]
-
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request, None if there is none.
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -58,14 +58,6 @@
     demand: Demand = Map()
 
 
-class Promise(NamedTuple):
-    """When a refused caller was told to come back, by this entry or another."""
-
-    service: str
-    return_ms: Millis
-    is_own: bool = True
-
-
 class OwnDemand(NamedTuple):
     """What this entry counts of the requests at each service.
 
@@ -146,13 +138,11 @@
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
     upstream, ``peer_demand`` the sum of the demand that they report. ``fair_slots`` are
     the slots that an account may hold before others, by service, where slots are
-    scarce; until ``fair_until_ms`` they are not determined again. ``promises`` are the
-    refused callers that were promised a time to come back, by fingerprint.
-
-    ``sharing`` are the other entries that share the limits of the fleet, also those not
-    heard for a while, with the time of their last report. ``ended`` are the processes
-    of entries that have ended or may have, by id; ``records`` is None until complete
-    records of them were received.
+    scarce; until ``fair_until_ms`` they are not determined again. ``sharing`` are the
+    other entries that share the limits of the fleet, also those not heard for a while,
+    with the time of their last report. ``ended`` are the processes of entries that have
+    ended or may have, by id; ``records`` is None until complete records of them were
+    received.
 
     ``named_limits`` are what upstreams have said of the requests that they take, by
     upstream.
@@ -189,7 +179,6 @@
     peer_demand: Demand = Map()
     fair_slots: Map[str, float] = Map()
     fair_until_ms: Millis = 0
-    promises: Map[str, Promise] = Map()
     sharing: Map[str, Millis] = Map()
     ended: Map[int, EndedProcess] = Map()
     records: RecordsReceived | None = None
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -256,8 +256,7 @@
     that arrived at an upstream, misdirected ones included. ``begun`` is whether the
     answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
     before it did. ``fingerprint`` is the same for a request that a caller sends again,
-    at whichever entry. ``returned`` is whether it was refused before
-    and promised this time.
+    at whichever entry.
     """
 
     ticket: int
@@ -279,7 +278,6 @@
     begun: bool = False
     met_crash: bool = False
     fingerprint: str = ""
-    returned: bool = False
 
     @property
     def subjects(self) -> tuple[str, ...]:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_urgency.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_urgency.py
@@ -24,7 +24,6 @@
     is_over_share,
     used_slots,
 )
-from nutmegslip_decisions.direct._returns import return_wait_ms
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Measure, Request
 from nutmegslip_decisions.model import Millis
@@ -40,21 +39,16 @@
     is_far_over: bool
     priority: int
     is_over: bool
-    since_ms: Millis
+    arrived_ms: Millis
 
 
 def turn_of(state: State, request: Request) -> Turn:
-    """Return the place of a request: by urgency, but accounts far over share last.
-
-    A caller that has come back is late already. It lets those pass that can still be
-    served on time, until it has waited for half of its time.
-    """
-    yield_ms = return_wait_ms(request) // 2 if request.returned else 0
+    """Return the place of a request: by urgency, but accounts far over share last."""
     return Turn(
         is_over_share(state, request, FAR_OVER),
         request.priority,
         is_over_share(state, request),
-        request.arrived_ms + yield_ms,
+        request.arrived_ms,
     )
 
 
@@ -71,26 +65,6 @@
     return not reserved or capacity.free_slots > reserved
 
 
-def patience_ms(state: State, request: Request, now_ms: Millis) -> int:
-    """Return the time within which the answer to a request is to start.
-
-    It is not shorter than for the less urgent that arrive, else an urgent request
-    would be refused in a short lack of slots in which the others wait. An answer that
-    starts after twice its objective is no better than one to a caller that comes back.
-    """
-    service, objective_ms = request.service, request.route.objective_ms
-    longest_ms = max(
-        (
-            state.table.objective_ms(service, priority)
-            for priority in priorities_of(state, service)
-            if priority > request.priority
-            and count_of(state, (service, Measure.ARRIVED, str(priority)), now_ms)
-        ),
-        default=objective_ms,
-    )
-    return min(max(objective_ms, longest_ms), 2 * objective_ms)
-
-
 def is_below_floor(state: State, request: Request, capacity: Capacity) -> bool:
     """Return whether the kind or the account of a request holds next to nothing."""
     service = request.service
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
@@ -14,14 +14,12 @@
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._choice import Capacity
 from nutmegslip_decisions.direct._demand import entry_share, is_counted
-from nutmegslip_decisions.direct._returns import Delays, return_wait_ms, with_promise
 from nutmegslip_decisions.direct._state import State
 from nutmegslip_decisions.direct._types import Request
 from nutmegslip_decisions.direct._urgency import (
     Turn,
     has_aged,
     is_below_floor,
-    patience_ms,
     turn_of,
 )
 from nutmegslip_decisions.model import Millis
@@ -86,22 +84,19 @@
 
 def is_due(state: State, request: Request, capacity: Capacity, now_ms: Millis) -> bool:
     """Return whether a request goes first, so that its kind or account gets a floor."""
-    if not has_aged(request, latest_send_ms(state, request, now_ms), now_ms):
+    if not has_aged(request, latest_send_ms(state, request), now_ms):
         return False
     return is_below_floor(state, request, capacity)
 
 
-def latest_send_ms(state: State, request: Request, now_ms: Millis) -> Millis:
+def latest_send_ms(state: State, request: Request) -> Millis:
     """Return the latest time to send a request whose answer is to start on time.
 
     A request sent later would take a slot that another request could use on time,
-    and its caller is served as well by a retry. One that has come back has no other
-    try, and is late already.
+    and its caller is served as well by a retry.
     """
     start_ms = int(load_of(state, request.service).start_ms)
-    due_ms = request.arrived_ms + patience_ms(state, request, now_ms)
-    if request.returned:
-        due_ms = max(due_ms, request.arrived_ms + return_wait_ms(request))
+    due_ms = request.arrived_ms + request.route.objective_ms
     return min(due_ms, request.deadline_ms) - start_ms
 
 
@@ -127,22 +122,5 @@
     return max(int(delay_ms), min_delay_ms)
 
 
-def promise_return(
-    state: State, request: Request, capacity: Capacity, now_ms: Millis
-) -> tuple[State, int]:
-    """Return the delay after which a refused caller should retry, promised if possible.
-
-    Nothing is promised during an outage or a pause, whose end is not known.
-    """
-    wait_ms = predicted_wait_ms(state, request, capacity, now_ms)
-    if wait_ms is not None and not capacity.is_paused:
-        longest_ms = (request.deadline_ms - now_ms) * MAX_RETRY_DELAY_SHARE
-        delays = Delays(max(wait_ms, MIN_RETRY_DELAY_MS), longest_ms)
-        state, delay_ms = with_promise(state, request, capacity, delays, now_ms)
-        if delay_ms is not None:
-            return state, delay_ms
-    return state, retry_delay_ms(state, request, capacity, now_ms)
-
-
 def _precedes(state: State, request: Request, ticket: int) -> bool:
     return turn_of(state, request) < turn_of(state, state.requests[ticket])
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -18,7 +18,6 @@
     limit_report,
     load_report,
     part_report,
-    promise_report,
     spending_report,
 )
 from nutmegslip_entry.direct._reports import (
@@ -87,7 +86,6 @@
                 report.spending,
                 report.limits,
                 report.demand,
-                report.promises,
             )
         )
 
@@ -101,7 +99,7 @@
             standing = self._standing()
             spending = spending_report(state, now_ms)
             limits = limit_report(state, now_ms)
-            demand, promises = demand_report(state, now_ms), promise_report(state)
+            demand = demand_report(state, now_ms)
             current = (
                 load_report(state),
                 part_report(state),
@@ -109,7 +107,6 @@
                 spending,
                 limits,
                 demand,
-                promises,
             )
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
@@ -124,7 +121,6 @@
                 spending,
                 limits,
                 demand,
-                promises,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -18,7 +18,6 @@
     Measure,
     NamedLimit,
     PartReport,
-    Promise,
     SpendingReport,
     Standing,
 )
@@ -41,7 +40,6 @@
     spending: SpendingReport = SpendingReport()
     limits: Map[str, NamedLimit] = Map()
     demand: Demand = Map()
-    promises: Map[str, Promise] = Map()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -72,12 +70,7 @@
     places = {
         part: [crash.place for crash in found] for part, found in parts.crashes.items()
     }
-    promises = [
-        [fingerprint, promise.service, promise.return_ms - now_ms]
-        for fingerprint, promise in report.promises.items()
-    ]
-    demand = [_encode_demand(report.demand), promises]
-    demand = [None, demand] if report.demand else []
+    demand = [None, _encode_demand(report.demand)] if report.demand else []
     return cbor2.dumps([*encoded, fields, spending, limits, places, *demand])
 
 
@@ -111,8 +104,7 @@
             Standing(bool(leads), bool(may_lead), int(fence)),
             _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
             _decode_limits(more[3], now_ms) if more[3:] else Map(),
-            _decode_demand(more[6][0]) if more[6:] else Map(),
-            _decode_promises(more[6][1], now_ms) if more[6:] else Map(),
+            _decode_demand(more[6]) if more[6:] else Map(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -202,14 +194,5 @@
     )
 
 
-def _decode_promises(promises: list, now_ms: Millis) -> Map[str, Promise]:
-    return Map(
-        {
-            str(fingerprint): Promise(str(service), now_ms + int(left_ms), is_own=False)
-            for fingerprint, service, left_ms in promises
-        }
-    )
-
-
 def _decode_retries(retries: dict) -> Map[str, int]:
     return Map({str(service): int(count) for service, count in retries.items()})
