Refuse hopeless requests of many small accounts at once

Cause: a request whose account holds no slot was taken to be the next one. With hundreds of small accounts and no slot free, all of them were queued and refused at their objective, 317 in the test where 40 can wait. Ahead of one below a floor are now the others below one.

Ruled out: a bound on the queue, which would refuse those that a slot can serve. Seen failing before the change: the new test, 317 waiting. The other tests pass as before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_waiting.py
@@ -56,9 +56,11 @@
     if not capacity.slots:
         return None
     queue = state.waiting.get(request.service, ())
-    ahead = sum(not _precedes(state, request, ticket) for ticket in queue)
-    if is_below_floor(state, request, capacity):
-        ahead = 0  # it goes first once it has aged
+    if is_below_floor(state, request, capacity):  # it goes first once it has aged
+        queued = (state.requests[ticket] for ticket in queue)
+        ahead = sum(is_below_floor(state, other, capacity) for other in queued)
+    else:
+        ahead = sum(not _precedes(state, request, ticket) for ticket in queue)
     free_every_ms = load_of(state, request.service).hold_ms / capacity.slots
     return (ahead + 1) * free_every_ms / entry_share(state, request.service, now_ms)
 
--- a/tests/test_direct_fair_shares.py
+++ b/tests/test_direct_fair_shares.py
@@ -126,6 +126,15 @@
         served = fleet.served["notes", "account-0"] / (10 * FULL_PER_S)
         self.assertGreater(served, 0.95)
 
+    def test_hopeless_requests_of_many_small_accounts_are_refused_at_once(self):
+        fleet = Fleet(1, SLOTS, 300)
+        large = [(0, "notes", "account-0")] * 3
+        fleet.run(1_000, lambda _: large)
+        self.assertIn("model", fleet.worlds[0].state.fair_slots)
+        burst = [(0, "notes", f"account-{number}") for number in range(1, 300)]
+        fleet.run(STEP_MS, lambda _: burst)
+        self.assertLess(len(fleet.worlds[0].state.waiting["model"]), 40)
+
     def test_levels_are_max_min(self):
         self.assertIsNone(max_min_level([3, 4], 7))
         self.assertEqual(max_min_level([1, 9, 9], 9), 4)
