Merge urgency, fair shares of client accounts, and demand over all entries

Why: a burst of the less urgent filled every slot before the urgent came, one account could take from all, and waits were predicted as if all entries had equal demand.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -3,6 +3,7 @@
 from nutmegslip_decisions.direct._budget import RetryBudget, retry_budget
 from nutmegslip_decisions.direct._connections import max_idle_connections
 from nutmegslip_decisions.direct._crash_parts import SUSPECT_CRASHES, part_report
+from nutmegslip_decisions.direct._demand_report import demand_report
 from nutmegslip_decisions.direct._event_splitter import EventSplitter
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
@@ -62,10 +63,12 @@
     Account,
     CallerRequest,
     Configuration,
+    Demand,
     EndedProcess,
     EngineModel,
     ExpertLayout,
     GroupRank,
+    Measure,
     NamedLimit,
     PaceReport,
     PaceReports,
@@ -92,6 +95,7 @@
     "Crash",
     "Declined",
     "DeliverFailure",
+    "Demand",
     "Effect",
     "EndedProcess",
     "EngineModel",
@@ -102,6 +106,7 @@
     "Failure",
     "GroupRank",
     "ListingRead",
+    "Measure",
     "NamedLimit",
     "NotSent",
     "Options",
@@ -143,6 +148,7 @@
     "Verdict",
     "ZonesOut",
     "counts_interval_ms",
+    "demand_report",
     "depends_on_one_zone",
     "fresh_peers",
     "highest_fence",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -10,6 +10,7 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    Demand,
     NamedLimit,
     PaceReports,
     Request,
@@ -24,6 +25,7 @@
 _NO_SPENDING = SpendingReport()
 _NO_LIMITS: Map[str, NamedLimit] = Map()
 _NO_PACES: PaceReports = Map()
+_NO_DEMAND: Demand = Map()
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +159,7 @@
     spending: SpendingReport = _NO_SPENDING
     limits: Map[str, NamedLimit] = _NO_LIMITS
     paces: PaceReports = _NO_PACES
+    demand: Demand = _NO_DEMAND
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -10,6 +10,8 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    Demand,
+    DemandKey,
     EndedProcess,
     NamedLimit,
     PaceReports,
@@ -57,6 +59,18 @@
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
     paces: PaceReports = Map()
+    demand: Demand = Map()
+
+
+class OwnDemand(NamedTuple):
+    """What this entry counts of the requests at each service.
+
+    ``in_flight`` are those at upstreams, ``recent`` those that arrived, were sent or
+    were refused of late.
+    """
+
+    in_flight: Map[DemandKey, int] = Map()
+    recent: Map[DemandKey, Window] = Map()
 
 
 class Process(NamedTuple):
@@ -145,10 +159,13 @@
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
-    upstream. ``sharing`` are the other entries that share the limits of the fleet, also
-    those not heard for a while, with the time of their last report. ``ended`` are the
-    processes of entries that have ended or may have, by id; ``records`` is None until
-    complete records of them were received.
+    upstream, ``peer_demand`` the sum of the demand that they report. ``fair_slots`` are
+    the slots that an account may hold before others, by service, where slots are
+    scarce; until ``fair_until_ms`` they are not determined again. ``sharing`` are the
+    other entries that share the limits of the fleet, also those not heard for a while,
+    with the time of their last report. ``ended`` are the processes of entries that have
+    ended or may have, by id; ``records`` is None until complete records of them were
+    received.
 
     ``named_limits`` are what upstreams have said of the requests that they take, by
     upstream.
@@ -183,6 +200,10 @@
     named_limits: Map[str, NamedLimit] = Map()
     peers: Map[str, PeerReport] = Map()
     peer_in_flight: Map[str, int] = Map()
+    demand: OwnDemand = OwnDemand()
+    peer_demand: Demand = Map()
+    fair_slots: Map[str, float] = Map()
+    fair_until_ms: Millis = 0
     sharing: Map[str, Millis] = Map()
     ended: Map[int, EndedProcess] = Map()
     records: RecordsReceived | None = None
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -69,6 +69,12 @@
             ["service", "group"],
             registry=self.registry,
         )
+        self._fair_slots = Gauge(
+            "nutmegslip_fair_slots",
+            "Slots that an account gets before others, 0 while there are enough.",
+            ["service"],
+            registry=self.registry,
+        )
         self._blamed_parts = Gauge(
             "nutmegslip_blamed_parts",
             "Prompt parts that crash upstreams; requests with them are refused.",
@@ -103,6 +109,7 @@
             for group in {upstream.group for upstream in upstreams}:
                 share = open_share(state, service, group, now_ms)
                 self._open_slots_share.labels(service, group).set(share)
+            self._fair_slots.labels(service).set(state.fair_slots.get(service, 0))
             budget = retry_budget(state, service, now_ms)
             self._retries.labels(service).set(budget.retries)
             self._retries_allowed.labels(service).set(budget.allowed)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -1,4 +1,4 @@
-"""Exchange reports with other entries: requests in flight, suspect parts, limits.
+"""Exchange reports with other entries: requests, demand, suspect parts, limits.
 
 UDP fits better than TCP here: the next report replaces a lost one, and none is
 delayed behind an older one.
@@ -14,6 +14,7 @@
 from nutmegslip_decisions.direct import (
     PeerReported,
     Standing,
+    demand_report,
     limit_report,
     load_report,
     pace_report,
@@ -86,6 +87,7 @@
                 report.spending,
                 report.limits,
                 report.paces,
+                report.demand,
             )
         )
 
@@ -105,9 +107,9 @@
             standing = self._standing()
             spending = spending_report(state, now_ms)
             limits = limit_report(state, now_ms)
-            paces = pace_report(state, now_ms)
             loads = load_report(state), part_report(state)
-            current = *loads, standing, spending, limits, paces
+            paces, demand = pace_report(state, now_ms), demand_report(state, now_ms)
+            current = *loads, standing, spending, limits, paces, demand
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
@@ -121,6 +123,7 @@
                 spending,
                 limits,
                 paces,
+                demand,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -14,7 +14,9 @@
 from nutmegslip_decisions.direct import (
     Blame,
     Crash,
+    Demand,
     EndedProcess,
+    Measure,
     NamedLimit,
     PaceReport,
     PaceReports,
@@ -24,6 +26,8 @@
 )
 from nutmegslip_decisions.model import Millis
 
+_MEASURES = frozenset(Measure)
+
 
 class ReportError(ValueError):
     """A datagram that is no report; look for another program that sends to the port."""
@@ -39,6 +43,7 @@
     spending: SpendingReport = SpendingReport()
     limits: Map[str, NamedLimit] = Map()
     paces: PaceReports = Map()
+    demand: Demand = Map()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -73,7 +78,16 @@
         service: {group: list(pace) for group, pace in groups.items()}
         for service, groups in report.paces.items()
     }
-    return cbor2.dumps([*encoded, fields, spending, limits, places, paces])
+    demand = [_encode_demand(report.demand)] if report.demand else []
+    return cbor2.dumps([*encoded, fields, spending, limits, places, paces, *demand])
+
+
+def _encode_demand(demand: Demand) -> dict[str, dict[str, dict[str, int]]]:
+    """Return counts of demand by service, measure and name, in few bytes."""
+    encoded: dict[str, dict[str, dict[str, int]]] = {}
+    for (service, measure, name), count in demand.items():
+        encoded.setdefault(service, {}).setdefault(str(measure), {})[name] = count
+    return encoded
 
 
 def _encode_spending(spending: SpendingReport, now_ms: Millis) -> list:
@@ -99,6 +113,7 @@
             _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
             _decode_limits(more[3], now_ms) if more[3:] else Map(),
             _decode_paces(more[5]) if more[5:] else Map(),
+            _decode_demand(more[6]) if more[6:] else Map(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -189,6 +204,19 @@
     )
 
 
+def _decode_demand(demand: dict) -> Demand:
+    """Return counts of demand without those that only a later build knows."""
+    return Map(
+        {
+            (str(service), Measure(measure), str(name)): int(count)
+            for service, measures in demand.items()
+            for measure, counts in measures.items()
+            if measure in _MEASURES
+            for name, count in counts.items()
+        }
+    )
+
+
 def _duration_ms(value: float) -> float:
     if not (math.isfinite(value) and value >= 0):
         raise ValueError(f"{value} is no duration in ms")
