Test that reports confirm a prepare only while a change is prepared

The prepare that clears an abandoned change is confirmed by its answer alone; on a kept connection a copy of an older answer could confirm it. The test fails if that order counts as confirmed by reports, and if the order of a change does not.

--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -14,7 +14,19 @@
     Service,
     max_idle_connections,
 )
-from nutmegslip_decisions.experts.rollout import Arm, Disarm, Hold, Prepare, Release
+from nutmegslip_decisions.experts.rollout import (
+    Arm,
+    Disarm,
+    Group,
+    Hold,
+    Prepare,
+    Preparing,
+    Release,
+    State,
+)
+from nutmegslip_decisions.experts.rollout import Options as RolloutOptions
+from nutmegslip_decisions.experts.rollout._orders import unconfirmed_orders
+from nutmegslip_decisions.experts.rollout._state import Clearing
 from nutmegslip_entry.direct import Pool
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import NotConnected, encode_request
@@ -165,6 +177,18 @@
             client.send_order(upstream("m1"), 1, 1, order)
         self.assertEqual(used, [False, True, True, True, True, True])
 
+    def test_reports_confirm_a_prepare_only_while_a_change_is_prepared(self):
+        group = Group("g", 1, ("r0", "r1"))
+        for phase, reported in (
+            (Preparing(5, (), 0.2, 0), True),
+            (Clearing(7, 0, Map()), False),
+        ):
+            with self.subTest(phase=phase):
+                state = State(RolloutOptions(1, 4, 2), group, layout=(), phase=phase)
+                orders = dict(unconfirmed_orders(state))
+                expected = Prepare(phase.version, (), reported=reported)
+                self.assertEqual(orders, dict.fromkeys(group.ranks, expected))
+
 
 if __name__ == "__main__":
     unittest.main()
