Let the successor of a silent leader trust the first reports

Cause: a leader frozen with a pass held stops its group. Its successor notices after 0.5 s and then waits 0.3 s for reports of what its predecessor may just have done. After half a second of silence reports that are 0.2 s old show that.

What: the rollout is told for how long the entry with the highest fence has been silent; after one that resigned nothing changes.

Tests: the successor's fails without the new field's use (as long as after a resignation); the silence's tests a new function. test_experts_rollout's fuzz has one more draw at a handover, so its worlds differ; its checks are the same.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -39,6 +39,7 @@
 from nutmegslip_decisions.direct._leadership import (
     Tenure,
     highest_fence,
+    leader_silence_ms,
     next_tenure,
     standing_of,
 )
@@ -141,6 +142,7 @@
     "is_paused",
     "is_ready",
     "judge",
+    "leader_silence_ms",
     "limit_report",
     "load_report",
     "next_loads",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_leadership.py
@@ -60,6 +60,17 @@
     return max((report.standing.fence for report in state.peers.values()), default=0)
 
 
+def leader_silence_ms(state: State, now_ms: Millis) -> Millis:
+    """Return for how long the entry that last began a change has been silent.
+
+    0 if it no longer leads, as what it did may have been a moment ago.
+    """
+    last = max(
+        state.peers.values(), key=lambda report: report.standing.fence, default=None
+    )
+    return now_ms - last.received_ms if last and last.standing.leads else 0
+
+
 def _is_first(state: State, leads: bool, now_ms: Millis) -> bool:
     standings = {peer: report.standing for peer, report in state.peers.items()}
     heard = fresh_peers(state, now_ms, LEADER_TIMEOUT_MS)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -109,9 +109,10 @@
             # Continue at once, so that a held pass does not wait for the next tick.
             next_state, more = _advance_and_send(next_state, now_ms)
             return next_state, (*effects, *more)
-        case Tick(now_ms, is_leader, fence):
+        case Tick(now_ms, is_leader, fence, silence_ms):
             if is_leader and not state.is_leader:
-                state = distrust_reports(state, now_ms)
+                # What a silent leader did before shows in the reports by now.
+                state = distrust_reports(state, now_ms - silence_ms)
             latest_fence = max(state.latest_fence, fence)
             state = state._replace(is_leader=is_leader, latest_fence=latest_fence)
             return _on_tick(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -139,12 +139,14 @@
     """The current time.
 
     ``is_leader`` is whether this process starts changes. ``fence`` is the fencing
-    number for changes that begin from now on; it never decreases.
+    number for changes that begin from now on; it never decreases. ``silence_ms`` is for
+    how long the leader before has been silent, 0 if it has resigned.
     """
 
     now_ms: Millis
     is_leader: bool
     fence: int
+    silence_ms: Millis = 0
 
 
 Event = GroupUpdated | ReportReceived | LayoutRead | LoadsMeasured | OrderOutcome | Tick
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -18,6 +18,7 @@
     counts_interval_ms,
     highest_fence,
     is_paused,
+    leader_silence_ms,
     next_loads,
     next_tenure,
     standing_of,
@@ -124,6 +125,7 @@
             now_ms = self._machine.clock()
             is_leader = self._check_leadership(now_ms)
             fence = self._next_fence()
+            silence_ms = leader_silence_ms(self._machine.state, now_ms)
             for name, layout, group in self._groups():
                 if name not in self._rollouts:
                     options = rollout.Options(
@@ -135,7 +137,7 @@
                     )
                     self._rollouts[name] = rollout.State(options)
                 self._dispatch(name, GroupUpdated(now_ms, group))
-                self._dispatch(name, Tick(now_ms, is_leader, fence))
+                self._dispatch(name, Tick(now_ms, is_leader, fence, silence_ms))
                 if not is_leader or not self._is_sample_due(name, layout, now_ms):
                     continue
                 if group is not None and self._is_settled(group, now_ms):
--- a/tests/test_direct_leadership.py
+++ b/tests/test_direct_leadership.py
@@ -15,6 +15,7 @@
     PeerReported,
     Tenure,
     highest_fence,
+    leader_silence_ms,
     next_tenure,
     standing_of,
 )
@@ -132,6 +133,22 @@
         self.fleet.run(3 * STEP_MS)
         self.assertEqual(self.fleet.leaders, [0])
 
+    def test_only_a_leader_that_has_not_resigned_counts_as_silent(self):
+        fleet = self.fleet
+        fleet.entries[0].fence = 9
+        fleet.run(2 * STEP_MS)
+        fleet.entries[0].frozen_until_ms = fleet.now_ms + 60_000
+        fleet.run(TAKEOVER_MS)
+        successor, third = fleet.entries[1:3]
+        silence_ms = leader_silence_ms(successor.world.state, fleet.now_ms)
+        self.assertGreaterEqual(silence_ms, LEADER_TIMEOUT_MS)
+        successor.fence = 10
+        fleet.run(2 * STEP_MS)
+        successor.stopping = True
+        fleet.run(2 * STEP_MS)
+        self.assertTrue(third.tenure.leads)
+        self.assertEqual(leader_silence_ms(third.world.state, fleet.now_ms), 0)
+
     def test_an_entry_learns_the_highest_fence_in_use(self):
         self.assertEqual(highest_fence(self.fleet.entries[0].world.state), 3)
 
--- a/tests/test_experts_rollout.py
+++ b/tests/test_experts_rollout.py
@@ -46,6 +46,7 @@
         self.backlog = []
         self.is_leader = True
         self.fence_lag_ms = 0
+        self.silence_ms = 0
 
 
 class Simulation:
@@ -91,7 +92,8 @@
         self._handle(process, GroupUpdated(self.now_ms, group))
         fenced_ms = self.now_ms - process.fence_lag_ms
         fence = fenced_ms * IDENTITY_COUNT + process.state.options.identity
-        self._handle(process, Tick(self.now_ms, process.is_leader, fence))
+        tick = Tick(self.now_ms, process.is_leader, fence, process.silence_ms)
+        self._handle(process, tick)
         hot = self.random.randrange(EXPERTS)
         loads = tuple(10.0 if e == hot else 1.0 for e in range(EXPERTS))
         self._handle(process, LoadsMeasured(self.now_ms, (loads,)))
@@ -161,6 +163,8 @@
                 process.frozen_until_ms = self.now_ms + self.random.randint(300, 6_000)
             case 3 | 4:
                 process.is_leader = not process.is_leader
+                # Also where the leader before is only cut off, and goes on.
+                process.silence_ms = self.random.choice((0, 600, 5_000))
             case 5 if self.random.random() < 0.3:
                 self.ranks.reform()
 
@@ -209,6 +213,23 @@
         simulation.run(80)
         self.assertLess(simulation.seen["held"] * TICK_MS, 1_500)
 
+    def test_the_successor_of_a_silent_leader_trusts_the_first_reports(self):
+        """The leader froze with a pass held, and was silent for the time limit."""
+        held = []
+        for silence_ms in (0, 500):
+            simulation = Simulation(1, fault_rate=0.0)
+            first, second = simulation.processes
+            second.is_leader = False
+            while not any(rank.held for rank in simulation.ranks.ranks):
+                simulation.tick()
+            first.frozen_until_ms = simulation.now_ms + 60_000
+            simulation.run(5)
+            first.is_leader, second.is_leader = False, True
+            second.silence_ms = silence_ms
+            simulation.run(80)
+            held.append(simulation.seen["held"] * TICK_MS)
+        self.assertLessEqual(held[1], held[0] - 300)
+
     @given(seed=st.integers(0, 2**32), fault_rate=st.sampled_from((0.1, 0.3, 0.6)))
     @settings(max_examples=120, suppress_health_check=list(HealthCheck))
     def test_no_pass_begins_with_two_maps_or_is_held_forever(self, seed, fault_rate):
