--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -42,6 +42,7 @@
 from nutmegslip_decisions.direct._leadership import (
     Tenure,
     highest_fence,
+    leader_silence_ms,
     next_tenure,
     standing_of,
 )
@@ -155,6 +156,7 @@
     "is_paused",
     "is_ready",
     "judge",
+    "leader_silence_ms",
     "limit_report",
     "load_report",
     "max_idle_connections",
