Lead only what no upstream has got to another group

A deadly request that is sent again to another group takes out that one too. The new test fails on the code before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -6,8 +6,8 @@
 to the same upstream until the next reports arrive. Of two that differ by less than a
 slot it takes one in its own availability zone: traffic between zones is dear, and the
 ranks of a group run in one pass, whichever of them has the request. Cold upstreams
-are limited to their rate, and failing upstreams are avoided for a while; a retry goes
-to another group, as the ranks of a lost zone all refuse it.
+are limited to their rate, and failing upstreams are avoided for a while; what
+the ranks of a lost zone refuse to connect for goes to another group.
 """
 
 from collections import Counter
@@ -184,10 +184,13 @@
 def _in_other_groups(
     state: State, candidates: list[Candidate], request: Request
 ) -> list[Candidate]:
-    """Prefer the groups that a request has not tried.
+    """Prefer the groups that a request has not tried, if none has got it yet.
 
     All ranks of a group stall if one of them fails, and many fail at once with a zone.
+    A request that did arrive may have crashed its group, and could crash another one.
     """
+    if request.reached:
+        return candidates
     tried = {
         state.upstreams[upstream_id].group
         for upstream_id in request.tried
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -379,6 +379,19 @@
             self.assertLessEqual(attempts, 2)
             world.now_ms += 40
 
+    def test_a_request_that_met_a_crash_is_not_led_to_another_group(self):
+        """It may have caused the crash."""
+        ranks = [
+            upstream(name, "model", zone=name[0], rank=GroupRank(name[0], 1, 0, True))
+            for name in ("a0", "c0", "c1")
+        ]
+        world = World(*ranks, options=Options("entry-1", zone="c", budget_slack=9.0))
+        (sent,) = world.arrive("/verses/1")
+        crash = AttemptFailed(
+            world.now_ms, sent.request.ticket, Broken("closed", closed=True)
+        )
+        self.assertEqual(world.take(crash)[0].upstream.group, "c")
+
     def test_nothing_is_sent_to_a_stalled_group(self):
         world = self._after_a_fault()
         (refusal,) = world.arrive("/verses/1")
