--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -6,8 +6,8 @@
 to the same upstream until the next reports arrive. Of two that differ by less than a
 slot it takes one in its own availability zone: traffic between zones is dear, and the
 ranks of a group run in one pass, whichever of them has the request. Cold upstreams
-are limited to their rate, and failing upstreams are avoided for a while; what
-the ranks of a lost zone refuse to connect for goes to another group.
+are limited to their rate, and failing upstreams are avoided for a while. A request
+that dead addresses have refused goes to another group, as a zone loses many at once.
 """
 
 from collections import Counter
@@ -189,7 +189,7 @@
     All ranks of a group stall if one of them fails, and many fail at once with a zone.
     A request that did arrive may have crashed its group, and could crash another one.
     """
-    if request.reached:
+    if request.sends:
         return candidates
     tried = {
         state.upstreams[upstream_id].group
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -355,7 +355,12 @@
         return world
 
     def test_a_zone_of_dead_ranks_costs_a_request_one_attempt(self):
-        """The entry prefers its own zone, whose ranks all refuse."""
+        """The entry prefers its own zone, whose ranks are down or have returned."""
+        for failure in (NotSent(), Declined(misdirected=True)):
+            with self.subTest(failure=failure):
+                self._meet_dead_ranks(failure)
+
+    def _meet_dead_ranks(self, failure):
         ranks = [
             upstream(
                 f"{zone}{number}",
@@ -373,7 +378,7 @@
             (sent,) = world.arrive("/verses/1")
             attempts = 1
             while sent.upstream.zone == "c":
-                refused = AttemptFailed(world.now_ms, sent.request.ticket, NotSent())
+                refused = AttemptFailed(world.now_ms, sent.request.ticket, failure)
                 (sent,) = world.take(refused)
                 attempts += 1
             self.assertLessEqual(attempts, 2)
