--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -356,7 +356,12 @@
         return world
 
     def test_a_zone_of_dead_ranks_costs_a_request_one_attempt(self):
-        """The entry prefers its own zone, whose ranks all refuse."""
+        """The entry prefers its own zone, whose ranks are down or have returned."""
+        for failure in (NotSent(), Declined(misdirected=True)):
+            with self.subTest(failure=failure):
+                self._meet_dead_ranks(failure)
+
+    def _meet_dead_ranks(self, failure):
         ranks = [
             upstream(
                 f"{zone}{number}",
@@ -374,12 +379,25 @@
             (sent,) = world.arrive("/verses/1")
             attempts = 1
             while sent.upstream.zone == "c":
-                refused = AttemptFailed(world.now_ms, sent.request.ticket, NotSent())
+                refused = AttemptFailed(world.now_ms, sent.request.ticket, failure)
                 (sent,) = world.take(refused)
                 attempts += 1
             self.assertLessEqual(attempts, 2)
             world.now_ms += 40
 
+    def test_a_request_that_met_a_crash_is_not_led_to_another_group(self):
+        """It may have caused the crash."""
+        ranks = [
+            upstream(name, "model", zone=name[0], rank=GroupRank(name[0], 1, 0, True))
+            for name in ("a0", "c0", "c1")
+        ]
+        world = World(*ranks, options=Options("entry-1", zone="c", budget_slack=9.0))
+        (sent,) = world.arrive("/verses/1")
+        crash = AttemptFailed(
+            world.now_ms, sent.request.ticket, Broken("closed", closed=True)
+        )
+        self.assertEqual(world.take(crash)[0].upstream.group, "c")
+
     def test_nothing_is_sent_to_a_stalled_group(self):
         world = self._after_a_fault()
         (refusal,) = world.arrive("/verses/1")
