--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -1,7 +1,9 @@
 """Decisions of an entry that sends to published upstreams without a sidecar."""
 
 from nutmegslip_decisions.direct._budget import RetryBudget, retry_budget
+from nutmegslip_decisions.direct._connections import max_idle_connections
 from nutmegslip_decisions.direct._crash_parts import SUSPECT_CRASHES, part_report
+from nutmegslip_decisions.direct._demand_report import demand_report
 from nutmegslip_decisions.direct._event_splitter import EventSplitter
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
@@ -38,6 +40,7 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._expert_loads import counts_interval_ms, next_loads
 from nutmegslip_decisions.direct._hedges import (
     HedgeLimit,
     Withheld,
@@ -45,14 +48,17 @@
     hedge_choice,
     hedge_limit,
 )
+from nutmegslip_decisions.direct._last_resort import depends_on_one_zone
 from nutmegslip_decisions.direct._leadership import (
     Tenure,
     highest_fence,
+    leader_silence_ms,
     next_tenure,
     standing_of,
 )
 from nutmegslip_decisions.direct._named_limits import limit_report
 from nutmegslip_decisions.direct._options import Options
+from nutmegslip_decisions.direct._pace import open_share, pace_report
 from nutmegslip_decisions.direct._part_evidence import Blame, Crash, PartReport
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
@@ -68,11 +74,15 @@
     Account,
     CallerRequest,
     Configuration,
+    Demand,
     EndedProcess,
     EngineModel,
     ExpertLayout,
     GroupRank,
+    Measure,
     NamedLimit,
+    PaceReport,
+    PaceReports,
     Request,
     RequestKind,
     RequestLimits,
@@ -97,6 +107,7 @@
     "Crash",
     "Declined",
     "DeliverFailure",
+    "Demand",
     "Effect",
     "EndedProcess",
     "EngineModel",
@@ -110,11 +121,14 @@
     "HedgeDue",
     "HedgeLimit",
     "ListingRead",
+    "Measure",
     "NamedLimit",
     "NotSent",
     "Options",
     "OptionsChanged",
     "PaceMeasured",
+    "PaceReport",
+    "PaceReports",
     "PartReport",
     "PeerReported",
     "Process",
@@ -150,6 +164,9 @@
     "Withheld",
     "ZonesOut",
     "attempt_at",
+    "counts_interval_ms",
+    "demand_report",
+    "depends_on_one_zone",
     "fresh_peers",
     "hedge_choice",
     "hedge_limit",
@@ -157,9 +174,14 @@
     "is_paused",
     "is_ready",
     "judge",
+    "leader_silence_ms",
     "limit_report",
     "load_report",
+    "max_idle_connections",
+    "next_loads",
     "next_tenure",
+    "open_share",
+    "pace_report",
     "part_report",
     "reduce",
     "retry_budget",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -6,7 +6,8 @@
 to the same upstream until the next reports arrive. Of two that differ by less than a
 slot it takes one in its own availability zone: traffic between zones is dear, and the
 ranks of a group run in one pass, whichever of them has the request. Cold upstreams
-are limited to their rate, and failing upstreams are avoided for a while.
+are limited to their rate, and failing upstreams are avoided for a while. A request
+that dead addresses have refused goes to another group, as a zone loses many at once.
 """
 
 from collections import Counter
@@ -17,7 +18,10 @@
 import xxhash
 
 from nutmegslip_decisions.direct._budget import load_of
+from nutmegslip_decisions.direct._connections import has_connection, meets_rarely
 from nutmegslip_decisions.direct._groups import is_usable
+from nutmegslip_decisions.direct._last_resort import usable_zones
+from nutmegslip_decisions.direct._pace import open_slots
 from nutmegslip_decisions.direct._state import State, UpstreamStats
 from nutmegslip_decisions.direct._types import Request, Upstream
 from nutmegslip_decisions.direct._upstream_shares import (
@@ -27,19 +31,22 @@
 )
 from nutmegslip_decisions.model import Millis
 
-DISTANT_ZONE_SLOTS = 1  # more evens the load less, and the ranks of a group share it
 SAMPLE_SIZE = 12  # of 72 upstreams; about 2 of 13 sends between reports collide
+NEW_CONNECTION_SLOTS = 0.5  # decides between equal loads only
+DISTANT_ZONE_SLOTS = 1  # more evens the load less, and the ranks of a group share it
 
 
 class Candidate(NamedTuple):
     """An upstream and the requests that all entries have in flight there.
 
-    ``is_limited`` is whether it names a rate, of which this entry has a request left.
+    ``is_limited`` is whether it names a rate, of which this entry has a request left,
+    ``opens_connection`` whether a request would open a connection that matters.
     """
 
     upstream: Upstream
     in_flight: int
     is_limited: bool = False
+    opens_connection: bool = False
 
     @property
     def load(self) -> float:
@@ -49,10 +56,15 @@
     def cost(self, zone: str) -> float:
         """Return the load, one slot higher in another availability zone.
 
+        It is half a slot higher where a connection has to be opened.
+
         A share of a named rate is used wherever the upstream is; it is small.
         """
         distant = self.upstream.zone != zone and not self.is_limited
-        return self.load + distant * DISTANT_ZONE_SLOTS / self.upstream.slots
+        slots = (
+            distant * DISTANT_ZONE_SLOTS + self.opens_connection * NEW_CONNECTION_SLOTS
+        )
+        return self.load + slots / self.upstream.slots
 
     @property
     def is_full(self) -> bool:
@@ -67,13 +79,20 @@
     free open slot; ``slots`` counts the open slots of all usable upstreams, whether
     taken or free; of those that name a rate, as many as the rate keeps busy.
     ``resume_ms`` is when the first paused upstream accepts requests again, None if none
-    is paused. ``is_limited`` is whether an upstream names a rate.
+    is paused. ``is_limited`` is whether an upstream names a rate. ``taken`` counts the
+    requests that all entries have in flight at usable upstreams.
     """
 
     candidates: tuple[Candidate, ...]
     slots: float
     resume_ms: Millis | None = None
     is_limited: bool = False
+    taken: int = 0
+
+    @property
+    def free_slots(self) -> float:
+        """Return the open slots that no entry uses."""
+        return self.slots - self.taken
 
     @property
     def is_paused(self) -> bool:
@@ -97,7 +116,9 @@
         for candidate in candidates
         if not _is_avoided(state, candidate.upstream, now_ms)
     ]
-    sampled = _sample(preferred or candidates, request)
+    sampled = _sample(
+        _in_other_groups(state, preferred or candidates, request), request
+    )
     zone = state.options.zone
     return min(sampled, key=lambda candidate: candidate.cost(zone)).upstream
 
@@ -113,6 +134,7 @@
     pauses: list[Millis] = []
     shares = limit_shares(state, now_ms)
     limited = False
+    rare = meets_rarely(state, service, now_ms)
     for upstream, stats in _usable_upstreams(state, service, now_ms):
         if stats.paused_until_ms > now_ms:
             pauses.append(stats.paused_until_ms)
@@ -126,12 +148,13 @@
         if cold_limit is not None and stats.sent.count(now_ms) >= cold_limit:
             continue
         if has_credit(state, stats, share, now_ms):
-            candidates.append(Candidate(upstream, in_flight, share is not None))
-    open_slots = {
-        group: count * load.open_shares.get(group, 1.0)
+            opens = rare and not has_connection(stats, now_ms)
+            candidates.append(Candidate(upstream, in_flight, share is not None, opens))
+    open_counts = {
+        group: open_slots(state, service, group, count, now_ms)
         for group, count in slots.items()
     }
-    free_groups = {group for group, count in open_slots.items() if taken[group] < count}
+    free_groups = {g for g, count in open_counts.items() if taken[g] < count}
     return Capacity(
         tuple(
             candidate
@@ -139,11 +162,13 @@
             if candidate.upstream.group in free_groups
         ),
         sum(
-            count * load.open_shares.get(group, 1.0)
+            count * open_counts[group] / slots[group]
             for group, count in busy_slots.items()
+            if count
         ),
         min(pauses, default=None),
         limited,
+        taken.total(),
     )
 
 
@@ -163,15 +188,37 @@
 def _usable_upstreams(
     state: State, service: str, now_ms: Millis
 ) -> Iterable[tuple[Upstream, UpstreamStats]]:
+    listed = _listed_upstreams(state, service, now_ms)
+    for upstream in usable_zones(state, listed, now_ms):
+        yield upstream, state.stats_of(upstream.id)
+
+
+def _listed_upstreams(state: State, service: str, now_ms: Millis) -> Iterable[Upstream]:
     for upstream_id in state.by_service.get(service, ()):
         upstream = state.upstreams[upstream_id]
-        if upstream.leaving or upstream.zone in state.zones_out:
-            continue
-        if upstream_id in state.withheld:
+        if upstream.leaving or upstream_id in state.withheld:
             continue
-        if not is_usable(state, upstream, now_ms):
-            continue
-        yield upstream, state.stats_of(upstream_id)
+        if is_usable(state, upstream, now_ms):
+            yield upstream
+
+
+def _in_other_groups(
+    state: State, candidates: list[Candidate], request: Request
+) -> list[Candidate]:
+    """Prefer the groups that a request has not tried, if none has got it yet.
+
+    All ranks of a group stall if one of them fails, and many fail at once with a zone.
+    A request that did arrive may have crashed its group, and could crash another one.
+    """
+    if request.sends:
+        return candidates
+    tried = {
+        state.upstreams[upstream_id].group
+        for upstream_id in request.tried
+        if upstream_id in state.upstreams
+    } - {""}
+    others = [item for item in candidates if item.upstream.group not in tried]
+    return others or candidates
 
 
 def _is_avoided(state: State, upstream: Upstream, now_ms: Millis) -> bool:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -10,7 +10,9 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    Demand,
     NamedLimit,
+    PaceReports,
     Request,
     SpendingReport,
     Standing,
@@ -22,6 +24,8 @@
 _NO_STANDING = Standing()
 _NO_SPENDING = SpendingReport()
 _NO_LIMITS: Map[str, NamedLimit] = Map()
+_NO_PACES: PaceReports = Map()
+_NO_DEMAND: Demand = Map()
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,10 +54,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ZonesOut:
-    """The set of availability zones out of service was read."""
+    """The set of availability zones out of service was read.
+
+    At ``unmarked_ms`` none of those that are new in it was out, None if unknown.
+    """
 
     now_ms: Millis
     zones: frozenset[str]
+    unmarked_ms: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +158,8 @@
     standing: Standing = _NO_STANDING
     spending: SpendingReport = _NO_SPENDING
     limits: Map[str, NamedLimit] = _NO_LIMITS
+    paces: PaceReports = _NO_PACES
+    demand: Demand = _NO_DEMAND
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,9 +248,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceMeasured:
-    """The mean gap between events of a service's streams was measured.
+    """The gaps between events of a service's streams were measured.
 
     ``group`` is the group that serves them, empty for upstreams without a group.
+    ``gap_ms`` is a high quantile of them, since one long gap makes a stream late.
     """
 
     now_ms: Millis
@@ -251,11 +262,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
-    """A request got its final answer, or its caller disconnected."""
+    """A request got its final answer, or its caller disconnected.
+
+    ``kept_until_ms`` is until when the connection of the last attempt is kept, 0 if it
+    was closed.
+    """
 
     now_ms: Millis
     ticket: int
     answered: bool
+    kept_until_ms: Millis = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
@@ -58,6 +58,18 @@
         case Declined():
             return stats._replace(avoid_until_ms=now_ms + DECLINED_AVOID_MS)
         case NotSent() | Broken():
-            failures = stats.failures + 1
-            avoid_ms = min(INITIAL_AVOID_MS * 2 ** (failures - 1), MAX_AVOID_MS)
-            return stats._replace(failures=failures, avoid_until_ms=now_ms + avoid_ms)
+            return _avoided_longer(stats, now_ms)
+
+
+def stats_after_lost_race(stats: UpstreamStats, now_ms: Millis) -> UpstreamStats:
+    """Return the statistics of an upstream whose request another one answered first.
+
+    The other attempt began later, so the upstream is much slower than usual or silent.
+    """
+    return _avoided_longer(stats, now_ms)
+
+
+def _avoided_longer(stats: UpstreamStats, now_ms: Millis) -> UpstreamStats:
+    failures = stats.failures + 1
+    avoid_ms = min(INITIAL_AVOID_MS * 2 ** (failures - 1), MAX_AVOID_MS)
+    return stats._replace(failures=failures, avoid_until_ms=now_ms + avoid_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_hedges.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_hedges.py
@@ -22,6 +22,7 @@
 
 from nutmegslip_decisions.direct._budget import count_retry, load_of, retry_budget
 from nutmegslip_decisions.direct._choice import Candidate, capacity_of, choose
+from nutmegslip_decisions.direct._pace import open_share
 from nutmegslip_decisions.direct._state import (
     BUDGET_BUCKET_MS,
     HedgeStats,
@@ -135,8 +136,7 @@
         return False
     if upstream.zone in state.zones_out or upstream.group in state.suspicions:
         return False
-    open_shares = load_of(state, request.service).open_shares
-    if open_shares.get(upstream.group, 1.0) < 1.0:
+    if open_share(state, request.service, upstream.group, now_ms) < 1:
         return False  # the group is too slow for what it has already
     return state.stats_of(upstream.id).avoid_until_ms <= now_ms
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -4,6 +4,7 @@
     with_part_report,
     without_expired_parts,
 )
+from nutmegslip_decisions.direct._demand import without_expired_demand
 from nutmegslip_decisions.direct._departures import (
     with_announcement,
     with_other_announcement,
@@ -39,12 +40,13 @@
     UpstreamRemoved,
     ZonesOut,
 )
+from nutmegslip_decisions.direct._fair_shares import with_fair_shares
 from nutmegslip_decisions.direct._named_limits import (
     with_named_limit,
     with_reported_limits,
     without_expired_limits,
 )
-from nutmegslip_decisions.direct._pace import with_pace
+from nutmegslip_decisions.direct._pace import with_pace, without_expired_paces
 from nutmegslip_decisions.direct._part_evidence import PartReport
 from nutmegslip_decisions.direct._pauses import with_pause
 from nutmegslip_decisions.direct._peers import with_report, without_stale
@@ -89,17 +91,25 @@
         case HedgeDue(now_ms, ticket):
             return send_hedge(state, ticket, now_ms)
         case PaceMeasured(now_ms, service, group, gap_ms):
-            paced = with_pace(state, service, group, gap_ms)
+            paced = with_pace(state, service, group, gap_ms, now_ms)
             return dispatch(paced, service, now_ms)
-        case RequestEnded(now_ms, ticket, answered):
+        case RequestEnded(now_ms, ticket):
             if ticket in state.unadmitted:
                 return without_unadmitted(state, ticket), ()
-            return finish(state, ticket, answered, now_ms)
+            return finish(state, event)
         case Tick(now_ms):
             return _tick(state, now_ms)
         case PeerReported(now_ms, peer, in_flight, parts, standing, spending, limits):
             old = state.peers.get(peer)
-            report = PeerReport(now_ms, in_flight, parts, standing, spending)
+            report = PeerReport(
+                now_ms,
+                in_flight,
+                parts,
+                standing,
+                spending,
+                event.paces,
+                event.demand,
+            )
             state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
@@ -112,8 +122,9 @@
             return dispatch_all(with_upstream(state, upstream, now_ms), now_ms)
         case UpstreamRemoved(now_ms, upstream_id):
             return without_upstream(state, upstream_id, now_ms), ()
-        case ZonesOut(now_ms, zones):
-            return dispatch_all(with_zones_read(state, zones, now_ms), now_ms)
+        case ZonesOut(now_ms, zones, unmarked_ms):
+            state = with_zones_read(state, zones, unmarked_ms, now_ms)
+            return dispatch_all(state, now_ms)
         case ListingRead(now_ms, upstreams):
             state, sent = admit_all(with_listing(state, upstreams, now_ms), now_ms)
             state, more = dispatch_all(state, now_ms)
@@ -151,6 +162,8 @@
     state = without_expired_parts(state, now_ms)
     state = without_expired_ends(state, now_ms)
     state = without_expired_limits(state, now_ms)
+    state = without_expired_paces(state, now_ms)
+    state = with_fair_shares(without_expired_demand(state, now_ms), now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -3,6 +3,7 @@
 import xxhash
 
 from nutmegslip_decisions.direct._budget import count_arrival, load_of
+from nutmegslip_decisions.direct._connections import with_connection_kept
 from nutmegslip_decisions.direct._crash_parts import (
     is_suspected,
     with_arrived_parts,
@@ -10,6 +11,7 @@
     with_crashed_attempt,
     with_upstream_gone,
 )
+from nutmegslip_decisions.direct._demand import with_arrival, without_attempt
 from nutmegslip_decisions.direct._dispatch import (
     Step,
     dispatch,
@@ -27,13 +29,16 @@
     NotSent,
     RefusalKind,
     Refuse,
+    RequestEnded,
     ResponseStarted,
 )
 from nutmegslip_decisions.direct._failures import (
     may_have_executed,
     may_retry,
     stats_after_failure,
+    stats_after_lost_race,
 )
+from nutmegslip_decisions.direct._fair_shares import is_over_share
 from nutmegslip_decisions.direct._groups import with_suspicion, without_suspicion
 from nutmegslip_decisions.direct._hedges import (
     attempt_at,
@@ -63,6 +68,8 @@
         return state, (Refuse(caller_request.ticket, RefusalKind.UNKNOWN_KEY, False),)
     request = _admitted_request(caller_request, route, account, arrived_ms)
     state = count_arrival(state, request.service, now_ms)
+    if not is_over_share(state, request):
+        state = with_arrival(state, request, now_ms)
     state = state._replace(requests=state.requests.set(request.ticket, request))
     state = with_arrived_parts(state, request, now_ms)
     return send_or_queue(state, request, now_ms)
@@ -118,7 +125,12 @@
     other = other_attempt(request, event.upstream)
     if other is None:
         return _with_begun(state, begun, now_ms), ()
-    state = _with_slot_released(state, other.upstream)
+    state = _with_slot_released(state, request, other.upstream)
+    if other.upstream == request.upstream:
+        # A silent upstream would look like the least loaded one.
+        stats = stats_after_lost_race(state.stats_of(other.upstream), now_ms)
+        upstream_stats = state.upstream_stats.set(other.upstream, stats)
+        state = state._replace(upstream_stats=upstream_stats)
     state = _with_begun(state, begun, now_ms)
     state, sent = dispatch(state, begun.service, now_ms)
     return state, (CancelAttempt(begun.ticket, other.upstream), *sent)
@@ -147,7 +159,7 @@
     if request is None:
         return state, ()
     now_ms, failure = event.now_ms, event.failure
-    state = _with_slot_released(state, request.upstream)
+    state = _with_slot_released(state, request, request.upstream)
     stats = stats_after_failure(state.stats_of(request.upstream), failure, now_ms)
     state = state._replace(
         upstream_stats=state.upstream_stats.set(request.upstream, stats)
@@ -202,31 +214,34 @@
             return False
 
 
-def finish(state: State, ticket: int, answered: bool, now_ms: Millis) -> Step:
+def finish(state: State, event: RequestEnded) -> Step:
     """Free the slot of an ended request, and send queued requests."""
-    request = state.requests.get(ticket)
+    now_ms, request = event.now_ms, state.requests.get(event.ticket)
     if request is None:
         return state, ()
     if request.upstream:
-        if answered:
-            state = _with_answer_recorded(state, request, now_ms)
-        state = _with_slot_released(state, request.upstream)
+        if event.answered:
+            state = _with_answer_recorded(state, request, event)
+        state = _with_slot_released(state, request, request.upstream)
     if request.hedge is not None:
-        state = _with_slot_released(state, request.hedge.upstream)
+        state = _with_slot_released(state, request, request.hedge.upstream)
     return dispatch(remove_request(state, request), request.service, now_ms)
 
 
-def _with_answer_recorded(state: State, request: Request, now_ms: Millis) -> State:
+def _with_answer_recorded(state: State, request: Request, event: RequestEnded) -> State:
     load = load_of(state, request.service)
-    held_ms = now_ms - request.sent_at_ms
+    held_ms = event.now_ms - request.sent_at_ms
     hold_ms = load.hold_ms + SMOOTHING * (held_ms - load.hold_ms)
     loads = state.loads.set(request.service, load._replace(hold_ms=hold_ms))
     stats = state.stats_of(request.upstream)._replace(failures=0)
+    stats = with_connection_kept(stats, event.kept_until_ms, event.now_ms)
     upstream_stats = state.upstream_stats.set(request.upstream, stats)
     return state._replace(loads=loads, upstream_stats=upstream_stats)
 
 
-def _with_slot_released(state: State, upstream_id: str) -> State:
+def _with_slot_released(state: State, request: Request, upstream_id: str) -> State:
     stats = state.stats_of(upstream_id)
     freed = stats._replace(in_flight=stats.in_flight - 1)
-    return state._replace(upstream_stats=state.upstream_stats.set(upstream_id, freed))
+    return without_attempt(state, request)._replace(
+        upstream_stats=state.upstream_stats.set(upstream_id, freed)
+    )
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -10,8 +10,11 @@
 from nutmegslip_decisions.direct._types import (
     CallerRequest,
     Configuration,
+    Demand,
+    DemandKey,
     EndedProcess,
     NamedLimit,
+    PaceReports,
     Request,
     SpendingReport,
     Standing,
@@ -29,7 +32,8 @@
     """Statistics of an upstream from this entry's own attempts.
 
     ``credit`` is what was left at ``credit_ms`` of its share of the rate that the
-    upstream names. Until ``avoid_until_ms`` others are preferred to it; until
+    upstream names. ``idle_until`` holds until when each idle connection to it is kept,
+    the last used last. Until ``avoid_until_ms`` others are preferred to it; until
     ``paused_until_ms``, which the upstream itself asked for, nothing is sent to it.
     """
 
@@ -40,6 +44,7 @@
     paused_until_ms: Millis = 0
     credit: float = 0.0
     credit_ms: Millis = 0
+    idle_until: tuple[Millis, ...] = ()
 
 
 _NO_STATS = UpstreamStats()
@@ -53,6 +58,19 @@
     parts: PartReport = PartReport()
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
+    paces: PaceReports = Map()
+    demand: Demand = Map()
+
+
+class OwnDemand(NamedTuple):
+    """What this entry counts of the requests at each service.
+
+    ``in_flight`` are those at upstreams, ``recent`` those that arrived, were sent or
+    were refused of late.
+    """
+
+    in_flight: Map[DemandKey, int] = Map()
+    recent: Map[DemandKey, Window] = Map()
 
 
 class Process(NamedTuple):
@@ -63,13 +81,32 @@
     is_first: bool = True
 
 
+class GapSample(NamedTuple):
+    """A high quantile of event gaps, and the streams that were then in flight."""
+
+    gap_ms: float
+    in_flight: int
+
+
+class GroupPace(NamedTuple):
+    """How the event gaps of a group grow with its streams in flight.
+
+    ``per_stream_ms`` is what each stream adds to the gaps of all, by a high quantile of
+    the samples; ``gap_ms`` is the median of the last ones.
+    """
+
+    samples: tuple[GapSample, ...]
+    per_stream_ms: float
+    gap_ms: float
+    measured_ms: Millis
+
+
 class ServiceLoad(NamedTuple):
     """Load of a service, measured from this entry's own requests.
 
     ``hold_ms`` is the mean time that a request holds a slot, ``start_ms`` the mean
     time to the first part of an answer. ``answered_ms`` is when an answer last began.
-    ``open_shares`` is the share of slots that are open, by group; groups that are not
-    in it have all slots open.
+    ``paces`` are measured by group; groups that are not in it have all slots open.
     """
 
     arrivals: Window
@@ -77,7 +114,7 @@
     hold_ms: float
     start_ms: float
     answered_ms: Millis = 0
-    open_shares: Map[str, float] = Map()
+    paces: Map[str, GroupPace] = Map()
 
 
 class HedgeStats(NamedTuple):
@@ -133,10 +170,13 @@
     """The complete state of the reducer.
 
     ``peer_in_flight`` is the sum of requests that all peers have in flight, by
-    upstream. ``sharing`` are the other entries that share the limits of the fleet, also
-    those not heard for a while, with the time of their last report. ``ended`` are the
-    processes of entries that have ended or may have, by id; ``records`` is None until
-    complete records of them were received.
+    upstream, ``peer_demand`` the sum of the demand that they report. ``fair_slots`` are
+    the slots that an account may hold before others, by service, where slots are
+    scarce; until ``fair_until_ms`` they are not determined again. ``sharing`` are the
+    other entries that share the limits of the fleet, also those not heard for a while,
+    with the time of their last report. ``ended`` are the processes of entries that have
+    ended or may have, by id; ``records`` is None until complete records of them were
+    received.
 
     ``named_limits`` are what upstreams have said of the requests that they take, by
     upstream.
@@ -146,7 +186,8 @@
     until ``copy_until_ms`` the list may be that of the copy, and ``withheld`` maps the
     upstreams that it revived to the time until which they get no requests.
     ``zones_read`` are the zones out of service by the list, ``zones_out`` those in
-    force. ``unadmitted`` holds the requests that wait for the first configuration, by
+    force; ``zone_deadlines`` is until when one of them may still get requests, by zone.
+    ``unadmitted`` holds the requests that wait for the first configuration, by
     ticket; ``waiting`` holds the queues of tickets, by service.
     """
 
@@ -165,10 +206,15 @@
     withheld: Map[str, Millis] = Map()
     zones_read: frozenset[str] = frozenset()
     zones_out: frozenset[str] = frozenset()
+    zone_deadlines: Map[str, Millis] = Map()
     upstream_stats: Map[str, UpstreamStats] = Map()
     named_limits: Map[str, NamedLimit] = Map()
     peers: Map[str, PeerReport] = Map()
     peer_in_flight: Map[str, int] = Map()
+    demand: OwnDemand = OwnDemand()
+    peer_demand: Demand = Map()
+    fair_slots: Map[str, float] = Map()
+    fair_until_ms: Millis = 0
     sharing: Map[str, Millis] = Map()
     ended: Map[int, EndedProcess] = Map()
     records: RecordsReceived | None = None
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -79,6 +79,7 @@
     """The published cost model of an engine.
 
     ``prompt_tokens`` and ``answer_tokens`` are the published means of a request.
+    ``pass_steps`` is the count of steps in a pass with answers, 0 if unknown.
     """
 
     slots: int
@@ -91,6 +92,7 @@
     prompt_tokens: int
     answer_tokens: int
     layout: ExpertLayout | None = None
+    pass_steps: int = 0
 
 
 class Service(NamedTuple):
@@ -212,6 +214,38 @@
     ended: Map[int, EndedProcess] = Map()
 
 
+class PaceReport(NamedTuple):
+    """What an entry measures of a group's event gaps.
+
+    ``per_stream_ms`` is what each stream in flight adds to the gaps of all.
+    """
+
+    per_stream_ms: float
+    gap_ms: float
+
+
+PaceReports = Map[str, Map[str, PaceReport]]  # by service and group
+
+
+class Measure(StrEnum):
+    """What a count of demand counts, and by which name."""
+
+    ENTRIES = "entries"  # that report their demand
+    WEIGHT = "weight"  # of an entry: what waits and was sent of late
+    SHORT = "short"  # entries where requests wait or were refused of late
+    ARRIVED = "arrived"  # of late, of accounts under their fair share, by priority
+    WAITING = "waiting"  # likewise
+    HELD = "held"  # in flight, by priority
+    USED = "used"  # in flight, by account
+    WANTED = "wanted"  # slots for what waits or was refused of late, by account
+    SENT = "sent"  # of late; not reported
+    REFUSED = "refused"  # of late, by account; not reported
+
+
+DemandKey = tuple[str, Measure, str]  # service, what is counted, name or empty
+Demand = Map[DemandKey, int]
+
+
 class CallerRequest(NamedTuple):
     """A request as received from a caller, before admission.
 
@@ -244,6 +278,8 @@
     that arrived at an upstream, misdirected ones included. ``begun`` is whether the
     answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
     before it did. ``fingerprint`` is the same for a request that a caller sends again,
+    at whichever entry. ``send_by_ms`` is the latest time to send the request to its
+    upstream, None without a limit but its deadline.
     at whichever entry. ``hedge_ms`` is when a second attempt is due, None for never;
     ``hedge`` is that attempt while both are in flight.
     """
@@ -267,6 +303,7 @@
     begun: bool = False
     met_crash: bool = False
     fingerprint: str = ""
+    send_by_ms: Millis | None = None
     hedge_ms: Millis | None = None
     hedge: Attempt | None = None
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -40,11 +40,13 @@
 class Prepare:
     """An order to copy the experts that are new to the rank.
 
-    It replaces what the rank had prepared.
+    It replaces what the rank had prepared. ``reported`` is whether the rank's reports
+    tell that it is done, so that nothing depends on the answer to the order.
     """
 
     version: int
     layout: Layout
+    reported: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,12 +141,14 @@
     """The current time.
 
     ``is_leader`` is whether this process starts changes. ``fence`` is the fencing
-    number for changes that begin from now on; it never decreases.
+    number for changes that begin from now on; it never decreases. ``silence_ms`` is for
+    how long the leader before has been silent, 0 if it has resigned.
     """
 
     now_ms: Millis
     is_leader: bool
     fence: int
+    silence_ms: Millis = 0
 
 
 Event = GroupUpdated | ReportReceived | LayoutRead | LoadsMeasured | OrderOutcome | Tick
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -89,7 +89,9 @@
         finally:
             # Free the slot or queue place even if the caller has disconnected.
             self._machine.dispatch(
-                RequestEnded(self._machine.clock(), ticket, answered)
+                RequestEnded(
+                    self._machine.clock(), ticket, answered, exchange.kept_until_ms
+                )
             )
 
     def _arrival(
@@ -130,6 +132,8 @@
         self._http_request = http_request
         self._events = EventSplitter()
         self._failed_answer: CompleteAnswer | None = None
+        self.kept_until_ms = 0
+        self._race_kept_until_ms: dict[str, int] = {}
 
     def run(self, arrival: CallerRequest) -> bool:
         """Execute the reducer's steps; return whether an upstream answered."""
@@ -186,6 +190,7 @@
         """Send to one upstream and forward its answer; return the failure, if any."""
         route = request.route
         fresh = route.kind is RequestKind.NON_IDEMPOTENT
+        self.kept_until_ms = 0
         try:
             connection = self._pool.acquire(upstream, request.deadline_ms, fresh=fresh)
         except NotConnected as error:
@@ -200,7 +205,7 @@
             return Broken(str(error), closed=isinstance(error, ConnectionClosed))
         finally:
             if answer_read:
-                self._pool.release(upstream, connection)
+                self.kept_until_ms = self._pool.release(upstream, connection)
             else:
                 connection.close()
         return failure
@@ -209,8 +214,10 @@
         self, connection: ClientConnection, request: Request, upstream: Upstream
     ) -> bool:
         http_request = self._http_request
-        remaining_ms = request.deadline_ms - self._machine.clock()
-        if remaining_ms <= 0:
+        now_ms = self._machine.clock()
+        remaining_ms = request.deadline_ms - now_ms
+        is_late = request.send_by_ms is not None and now_ms >= request.send_by_ms
+        if remaining_ms <= 0 or is_late:
             return False  # the process was suspended after the decision to send
         headers = self._header_codec.upstream_headers(
             http_request, request, upstream, remaining_ms, self._events.last_id
@@ -267,6 +274,7 @@
             case FailedAttempt(failure):
                 return upstream, failure
             case CompleteAnswer():
+                self.kept_until_ms = self._race_kept_until_ms[upstream.id]
                 self._forward(result)
                 return upstream, None
             case BegunStream():
@@ -294,7 +302,8 @@
             if result is None:
                 connection.close()
             elif not isinstance(result, BegunStream):
-                self._pool.release(upstream, connection)
+                kept_until_ms = self._pool.release(upstream, connection)
+                self._race_kept_until_ms[upstream.id] = kept_until_ms
         return result
 
     def _read_start(
@@ -336,7 +345,7 @@
             return Broken(str(error), closed=isinstance(error, ConnectionClosed))
         finally:
             if answer_read:
-                self._pool.release(upstream, connection)
+                self.kept_until_ms = self._pool.release(upstream, connection)
             else:
                 connection.close()
         return None
@@ -435,6 +444,8 @@
             raise ConnectionBroken("an event of the stream is too long")
         if events:
             return BegunStream(connection, answer, splitter, events)
+    if not splitter.is_complete:
+        raise ConnectionBroken("the stream ended within an event")
     return BegunStream(connection, answer, splitter, b"")
 
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -40,6 +40,7 @@
     attempt_at,
     hedge_choice,
     hedge_limit,
+    open_share,
     retry_budget,
 )
 
@@ -123,8 +124,8 @@
                         "fingerprint": request.fingerprint,
                     },
                 )
-        case PaceMeasured(_, service, group, gap_ms):
-            yield from _slot_lines(before, after, service, group, gap_ms)
+        case PaceMeasured():
+            yield from _slot_lines(before, after, event)
         case HedgeDue(now_ms, ticket) if not effects:
             yield from _withheld_lines(before, ticket, now_ms)
         case ResponseStarted(now_ms, ticket, upstream_id):
@@ -144,6 +145,7 @@
     yield from _suspicion_lines(before, after)
     yield from _part_lines(before, after)
     yield from _limit_lines(before, after)
+    yield from _fair_share_lines(before, after)
     yield from (
         line
         for effect in effects
@@ -187,29 +189,26 @@
     return max(state.stats_of(request.upstream).avoid_until_ms - now_ms, 0)
 
 
-def _slot_lines(
-    before: State, after: State, service: str, group: str, gap_ms: float
-) -> Iterator[LogLine]:
+def _slot_lines(before: State, after: State, event: PaceMeasured) -> Iterator[LogLine]:
     """Yield a line if the open share, rounded to tenths, changed.
 
     Smaller changes occur four times a second.
     """
-    old, new = (_open_tenths(state, service, group) for state in (before, after))
+    service, group = event.service, event.group
+    old, new = (
+        round(10 * open_share(state, service, group, event.now_ms))
+        for state in (before, after)
+    )
     if old != new:
         yield _log_line(
             "slots-opened" if new > old else "slots-closed",
             service=service,
             group=group,
             open_share=new / 10,
-            gap_ms=round(gap_ms),
+            gap_ms=round(event.gap_ms),
         )
 
 
-def _open_tenths(state: State, service: str, group: str) -> int:
-    load = state.loads.get(service)
-    return round(10 * load.open_shares.get(group, 1.0)) if load else 10
-
-
 def _suspicion_lines(before: State, after: State) -> Iterator[LogLine]:
     if before.suspicions is after.suspicions:
         return
@@ -242,6 +241,19 @@
             )
 
 
+def _fair_share_lines(before: State, after: State) -> Iterator[LogLine]:
+    """Yield a line for each service whose slots became scarce, or are no longer."""
+    old, new = before.fair_slots, after.fair_slots
+    if old is new:
+        return
+    for service, slots in new.items():
+        if service not in old:
+            yield _log_line("fair-shares-begun", service=service, slots=round(slots, 1))
+    for service in old:
+        if service not in new:
+            yield _log_line("fair-shares-ended", service=service)
+
+
 def _part_lines(before: State, after: State) -> Iterator[LogLine]:
     """Yield a line for each prompt part whose suspicion or blame changed."""
     old, new = before.parts, after.parts
@@ -287,6 +299,16 @@
             )
             if request.reached:
                 yield _retry_line(request, after)
+            if request.send_by_ms is not None:
+                yield LogLine(
+                    "last-resort-used",
+                    request.request_id,
+                    {
+                        "upstream": upstream.id,
+                        "zone": upstream.zone,
+                        "left_ms": request.send_by_ms - request.sent_at_ms,
+                    },
+                )
         case Hedge(request, upstream):
             first = after.requests[request.ticket]
             limit = hedge_limit(after, request.service, request.sent_at_ms)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from nutmegslip_decisions.direct import State, hedge_limit, retry_budget
+from nutmegslip_decisions.direct import State, hedge_limit, open_share, retry_budget
 from nutmegslip_decisions.model import Millis
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
@@ -52,6 +52,12 @@
             ["service"],
             registry=self.registry,
         )
+        self._connections = Gauge(
+            "nutmegslip_upstream_connections",
+            "Uses of a connection to an upstream since the start: opened or reused.",
+            ["use"],
+            registry=self.registry,
+        )
         self._hedges = Gauge(
             "nutmegslip_hedges",
             "Second attempts of slow requests that this entry sent in the window.",
@@ -69,6 +75,18 @@
             "Upstreams that name a limit on the requests that they take.",
             registry=self.registry,
         )
+        self._open_slots_share = Gauge(
+            "nutmegslip_open_slots_share",
+            "Share of a group's slots that event gaps allow to take.",
+            ["service", "group"],
+            registry=self.registry,
+        )
+        self._fair_slots = Gauge(
+            "nutmegslip_fair_slots",
+            "Slots that an account gets before others, 0 while there are enough.",
+            ["service"],
+            registry=self.registry,
+        )
         self._blamed_parts = Gauge(
             "nutmegslip_blamed_parts",
             "Prompt parts that crash upstreams; requests with them are refused.",
@@ -83,6 +101,11 @@
         """Record the duration of one served request."""
         self._request_seconds.observe(milliseconds / 1_000)
 
+    def update_connections(self, opened: int, reused: int) -> None:
+        """Set the counts of connections that were opened and reused."""
+        self._connections.labels("opened").set(opened)
+        self._connections.labels("reused").set(reused)
+
     def update_gauges(self, state: State, store_calls: int, now_ms: Millis) -> None:
         """Set the gauges from a state."""
         configuration = state.configuration
@@ -94,6 +117,11 @@
         limits = state.named_limits.values()
         self._limited_upstreams.set(sum(limit.per_s is not None for limit in limits))
         for service in state.loads:
+            upstreams = (state.upstreams[u] for u in state.by_service.get(service, ()))
+            for group in {upstream.group for upstream in upstreams}:
+                share = open_share(state, service, group, now_ms)
+                self._open_slots_share.labels(service, group).set(share)
+            self._fair_slots.labels(service).set(state.fair_slots.get(service, 0))
             budget = retry_budget(state, service, now_ms)
             self._retries.labels(service).set(budget.retries)
             self._retries_allowed.labels(service).set(budget.allowed)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -1,4 +1,4 @@
-"""Exchange reports with other entries: requests in flight, suspect parts, limits.
+"""Exchange reports with other entries: requests, demand, suspect parts, limits.
 
 UDP fits better than TCP here: the next report replaces a lost one, and none is
 delayed behind an older one.
@@ -14,8 +14,10 @@
 from nutmegslip_decisions.direct import (
     PeerReported,
     Standing,
+    demand_report,
     limit_report,
     load_report,
+    pace_report,
     part_report,
     spending_report,
 )
@@ -84,20 +86,30 @@
                 report.standing,
                 report.spending,
                 report.limits,
+                report.paces,
+                report.demand,
             )
         )
 
     def send(self) -> None:
-        """Send reports until killed."""
+        """Send reports until killed; a retry is reported as it is sent.
+
+        A retry that no peer has heard of when this process is killed would be spent
+        from the budget once more.
+        """
+        retry_sent = self._machine.retry_sent
         last = None
         for number in count():
-            gevent.sleep(REPORT_INTERVAL_MS / 1_000)
+            retry_sent.wait(REPORT_INTERVAL_MS / 1_000)
+            retry_sent.clear()
             now_ms = self._machine.clock()
             state = self._machine.state
             standing = self._standing()
             spending = spending_report(state, now_ms)
             limits = limit_report(state, now_ms)
-            current = load_report(state), part_report(state), standing, spending, limits
+            loads = load_report(state), part_report(state)
+            paces, demand = pace_report(state, now_ms), demand_report(state, now_ms)
+            current = *loads, standing, spending, limits, paces, demand
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
@@ -110,6 +122,8 @@
                 standing,
                 spending,
                 limits,
+                paces,
+                demand,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -20,6 +20,7 @@
     StorePosition,
     Tick,
     Upstream,
+    max_idle_connections,
 )
 from nutmegslip_decisions.experts.rollout import IDENTITY_COUNT
 from nutmegslip_entry.direct._callers import (
@@ -66,7 +67,9 @@
 RankClientFactory = Callable[
     [Pool, Callable[[], int], RateLimitedLog, AnswerRecorder], RankClient
 ]
-FeedFactory = Callable[[str, Callable[[Event], None], RateLimitedLog], Feed]
+FeedFactory = Callable[
+    [str, Callable[[Event], None], RateLimitedLog, Callable[[], bool]], Feed
+]
 
 
 class Program:
@@ -99,9 +102,19 @@
                 settings.first_start,
             ),
         )
-        self._pool = Pool(boottime_ms)
+        self._pool = Pool(
+            boottime_ms,
+            lambda upstream: max_idle_connections(
+                self._machine.state, upstream.service
+            ),
+        )
         self._exchanges = Exchanges(self._machine, header_codec, self._pool, count(1))
-        self._feed = make_feed(settings.store, self._machine.dispatch, self._log)
+        self._feed = make_feed(
+            settings.store,
+            self._machine.dispatch,
+            self._log,
+            lambda: direct.depends_on_one_zone(self._machine.state),
+        )
         self._peers = Peers(
             self._machine,
             settings.peers,
@@ -203,6 +216,7 @@
         self._metrics.update_gauges(
             self._machine.state, self._feed.calls, boottime_ms()
         )
+        self._metrics.update_connections(self._pool.opened, self._pool.reused)
         caller.answer(
             200, [METRICS_CONTENT_TYPE], generate_latest(self._metrics.registry)
         )
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -3,6 +3,7 @@
 Times travel as ages, since the clocks of two hosts count from different starts.
 """
 
+import math
 from collections.abc import Iterator
 from itertools import zip_longest
 from typing import NamedTuple
@@ -13,14 +14,20 @@
 from nutmegslip_decisions.direct import (
     Blame,
     Crash,
+    Demand,
     EndedProcess,
+    Measure,
     NamedLimit,
+    PaceReport,
+    PaceReports,
     PartReport,
     SpendingReport,
     Standing,
 )
 from nutmegslip_decisions.model import Millis
 
+_MEASURES = frozenset(Measure)
+
 
 class ReportError(ValueError):
     """A datagram that is no report; look for another program that sends to the port."""
@@ -35,6 +42,8 @@
     standing: Standing = Standing()
     spending: SpendingReport = SpendingReport()
     limits: Map[str, NamedLimit] = Map()
+    paces: PaceReports = Map()
+    demand: Demand = Map()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -65,7 +74,20 @@
     places = {
         part: [crash.place for crash in found] for part, found in parts.crashes.items()
     }
-    return cbor2.dumps([*encoded, fields, spending, limits, places])
+    paces = {
+        service: {group: list(pace) for group, pace in groups.items()}
+        for service, groups in report.paces.items()
+    }
+    demand = [_encode_demand(report.demand)] if report.demand else []
+    return cbor2.dumps([*encoded, fields, spending, limits, places, paces, *demand])
+
+
+def _encode_demand(demand: Demand) -> dict[str, dict[str, dict[str, int]]]:
+    """Return counts of demand by service, measure and name, in few bytes."""
+    encoded: dict[str, dict[str, dict[str, int]]] = {}
+    for (service, measure, name), count in demand.items():
+        encoded.setdefault(service, {}).setdefault(str(measure), {})[name] = count
+    return encoded
 
 
 def _encode_spending(spending: SpendingReport, now_ms: Millis) -> list:
@@ -90,6 +112,8 @@
             Standing(bool(leads), bool(may_lead), int(fence)),
             _decode_spending(*more[2], now_ms) if more[2:] else SpendingReport(),
             _decode_limits(more[3], now_ms) if more[3:] else Map(),
+            _decode_paces(more[5]) if more[5:] else Map(),
+            _decode_demand(more[6]) if more[6:] else Map(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -166,5 +190,38 @@
     )
 
 
+def _decode_paces(paces: dict) -> PaceReports:
+    return Map(
+        {
+            str(service): Map(
+                {
+                    str(group): PaceReport(*map(_duration_ms, pace))
+                    for group, pace in groups.items()
+                }
+            )
+            for service, groups in paces.items()
+        }
+    )
+
+
+def _decode_demand(demand: dict) -> Demand:
+    """Return counts of demand without those that only a later build knows."""
+    return Map(
+        {
+            (str(service), Measure(measure), str(name)): int(count)
+            for service, measures in demand.items()
+            for measure, counts in measures.items()
+            if measure in _MEASURES
+            for name, count in counts.items()
+        }
+    )
+
+
+def _duration_ms(value: float) -> float:
+    if not (math.isfinite(value) and value >= 0):
+        raise ValueError(f"{value} is no duration in ms")
+    return float(value)
+
+
 def _decode_retries(retries: dict) -> Map[str, int]:
     return Map({str(service): int(count) for service, count in retries.items()})
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -39,6 +39,7 @@
     budget_slack: NotRequired[float]
     cold_multiplier: NotRequired[float]
     cold_slack: NotRequired[float]
+    evacuation_s: NotRequired[float]
     stop_grace_s: NotRequired[float]
 
 
@@ -126,6 +127,7 @@
         budget_slack=bounds.get("budget_slack", defaults.budget_slack),
         cold_multiplier=bounds.get("cold_multiplier", defaults.cold_multiplier),
         cold_slack=bounds.get("cold_slack", defaults.cold_slack),
+        evacuation_ms=_milliseconds(bounds.get("evacuation_s")),
         hedge_max_share=_share(hedge, "max_share", defaults.hedge_max_share),
         hedge_after_quantile=_share(
             hedge, "after_quantile", defaults.hedge_after_quantile
@@ -133,6 +135,10 @@
     )
 
 
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else int(seconds * 1_000)
+
+
 def _share(hedge: _Hedge, key: str, default: float) -> float:
     value = hedge.get(key, default)
     if not 0 <= value < 1:
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -272,6 +272,31 @@
         "Correct the value that the upstream sends: requests per second as a decimal.",
         ("upstream", "value"),
     ),
+    EventKind(
+        2036,
+        "fair-shares-begun",
+        Level.INFO,
+        "Slots of a service are scarce; each client account gets its fair share first.",
+        "If it persists, add upstreams; the heaviest accounts are refused most.",
+        ("service", "slots"),
+    ),
+    EventKind(
+        2037,
+        "fair-shares-ended",
+        Level.INFO,
+        "The slots of a service are enough for all accounts again.",
+        NO_REMEDY,
+        ("service",),
+    ),
+    EventKind(
+        2040,
+        "last-resort-used",
+        Level.WARNING,
+        "The entry sends the request to an availability zone that goes out of service, "
+        "for 'left_ms' yet, as no other upstream of its service can take it.",
+        "Start upstreams of the service in another zone.",
+        ("upstream", "zone", "left_ms"),
+    ),
     EventKind(
         2042,
         "hedge-sent",
