Merge hedged requests within a limit of the operator, off by default

Why: the operators accept extra work if it cuts the slowest answers of requests that may be repeated.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -8,6 +8,7 @@
 from nutmegslip_decisions.direct._events import (
     AttemptFailed,
     Broken,
+    CancelAttempt,
     ConfigurationPublished,
     Declined,
     DeliverFailure,
@@ -15,6 +16,8 @@
     Errored,
     Event,
     Failure,
+    Hedge,
+    HedgeDue,
     ListingRead,
     NotSent,
     OptionsChanged,
@@ -38,6 +41,13 @@
     ZonesOut,
 )
 from nutmegslip_decisions.direct._expert_loads import counts_interval_ms, next_loads
+from nutmegslip_decisions.direct._hedges import (
+    HedgeLimit,
+    Withheld,
+    attempt_at,
+    hedge_choice,
+    hedge_limit,
+)
 from nutmegslip_decisions.direct._last_resort import depends_on_one_zone
 from nutmegslip_decisions.direct._leadership import (
     Tenure,
@@ -91,6 +101,7 @@
     "Blame",
     "Broken",
     "CallerRequest",
+    "CancelAttempt",
     "Configuration",
     "ConfigurationPublished",
     "Crash",
@@ -106,6 +117,9 @@
     "ExpertLayout",
     "Failure",
     "GroupRank",
+    "Hedge",
+    "HedgeDue",
+    "HedgeLimit",
     "ListingRead",
     "Measure",
     "NamedLimit",
@@ -147,11 +161,15 @@
     "UpstreamPublished",
     "UpstreamRemoved",
     "Verdict",
+    "Withheld",
     "ZonesOut",
+    "attempt_at",
     "counts_interval_ms",
     "demand_report",
     "depends_on_one_zone",
     "fresh_peers",
+    "hedge_choice",
+    "hedge_limit",
     "highest_fence",
     "is_paused",
     "is_ready",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_options.py
@@ -15,6 +15,9 @@
     ``rejoin_ms`` is how long removed upstreams are kept after a store outage.
     ``evacuation_ms`` is the time from the order to take an availability zone out of
     service until nothing may reach its upstreams, None to stop when it is read.
+    ``hedge_max_share`` limits second attempts of slow requests, as a share of the
+    requests for a service, 0 for none; ``hedge_after_quantile`` is the share of
+    answers that begin before a request counts as slow.
     """
 
     name: str
@@ -28,6 +31,8 @@
     cold_slack: float = 0.0
     rejoin_ms: int = 2_000
     evacuation_ms: int | None = None
+    hedge_max_share: float = 0.0
+    hedge_after_quantile: float = 0.95
 
     @property
     def retry_window_ms(self) -> int:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -264,6 +264,13 @@
     fingerprint: str = ""
 
 
+class Attempt(NamedTuple):
+    """An attempt in flight."""
+
+    upstream: str
+    sent_at_ms: Millis
+
+
 class Request(NamedTuple):
     """One admitted request without a final answer.
 
@@ -273,6 +280,8 @@
     before it did. ``fingerprint`` is the same for a request that a caller sends again,
     at whichever entry. ``send_by_ms`` is the latest time to send the request to its
     upstream, None without a limit but its deadline.
+    at whichever entry. ``hedge_ms`` is when a second attempt is due, None for never;
+    ``hedge`` is that attempt while both are in flight.
     """
 
     ticket: int
@@ -295,6 +304,8 @@
     met_crash: bool = False
     fingerprint: str = ""
     send_by_ms: Millis | None = None
+    hedge_ms: Millis | None = None
+    hedge: Attempt | None = None
 
     @property
     def subjects(self) -> tuple[str, ...]:
