Let each entry prefer a subset of the upstreams of a large service

Cause: with 13 entries before 72 ranks an entry opens a connection to every rank, and between two reports entries with the same picture send to the same ranks.

Now a hash ring gives each upstream the same number of entries that prefer it by one slot, three at least, more with the entry's demand; a subset that is two requests busier, full or gone is left, as all upstreams are sampled as before. Only services with more than twelve upstreams that an entry meets less than once a second each have subsets; upstreams that name a rate keep their cost.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -30,6 +30,7 @@
 
 SAMPLE_SIZE = 12  # of 72 upstreams; about 2 of 13 sends between reports collide
 NEW_CONNECTION_SLOTS = 0.5  # decides between equal loads only
+OUTSIDE_SLOTS = 1  # subsets differ, so that entries seldom meet at the same upstream
 DISTANT_ZONE_SLOTS = 1  # more evens the load less, and the ranks of a group share it
 
 
@@ -37,13 +38,15 @@
     """An upstream and the requests that all entries have in flight there.
 
     ``is_limited`` is whether it names a rate, of which this entry has a request left,
-    ``opens_connection`` whether a request would open a connection that matters.
+    ``opens_connection`` whether a request would open a connection that matters,
+    ``is_outside`` whether it is not in the subset that this entry prefers.
     """
 
     upstream: Upstream
     in_flight: int
     is_limited: bool = False
     opens_connection: bool = False
+    is_outside: bool = False
 
     @property
     def load(self) -> float:
@@ -53,13 +56,17 @@
     def cost(self, zone: str) -> float:
         """Return the load, one slot higher in another availability zone.
 
-        It is half a slot higher where a connection has to be opened.
+        It is one slot higher outside the subset, and half a slot where a connection has
+        to be opened.
 
         A share of a named rate is used wherever the upstream is; it is small.
         """
-        distant = self.upstream.zone != zone and not self.is_limited
+        if self.is_limited:
+            return self.load
         slots = (
-            distant * DISTANT_ZONE_SLOTS + self.opens_connection * NEW_CONNECTION_SLOTS
+            (self.upstream.zone != zone) * DISTANT_ZONE_SLOTS
+            + self.opens_connection * NEW_CONNECTION_SLOTS
+            + self.is_outside * OUTSIDE_SLOTS
         )
         return self.load + slots / self.upstream.slots
 
@@ -123,6 +130,7 @@
     shares = limit_shares(state, now_ms)
     limited = False
     rare = meets_rarely(state, service, now_ms)
+    subset = state.subsets.get(service) if rare else None
     for upstream, stats in _usable_upstreams(state, service, now_ms):
         if stats.paused_until_ms > now_ms:
             pauses.append(stats.paused_until_ms)
@@ -137,7 +145,10 @@
             continue
         if has_credit(state, stats, share, now_ms):
             opens = rare and not has_connection(stats, now_ms)
-            candidates.append(Candidate(upstream, in_flight, share is not None, opens))
+            outside = subset is not None and upstream.id not in subset.members
+            candidates.append(
+                Candidate(upstream, in_flight, share is not None, opens, outside)
+            )
     open_slots = {
         group: count * load.open_shares.get(group, 1.0)
         for group, count in slots.items()
@@ -192,4 +203,8 @@
 def _sample(candidates: list[Candidate], request: Request) -> list[Candidate]:
     # Seeded with the request's id, so that entries draw and break ties differently.
     generator = Random(xxhash.xxh3_64_intdigest(request.request_id.encode()))
-    return generator.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
+    drawn = generator.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
+    inside = [candidate for candidate in candidates if not candidate.is_outside]
+    if len(inside) == len(candidates):
+        return drawn
+    return drawn + generator.sample(inside, min(SAMPLE_SIZE, len(inside)))
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -72,6 +72,7 @@
     without_unadmitted,
 )
 from nutmegslip_decisions.direct._state import PeerReport, State
+from nutmegslip_decisions.direct._subsets import with_subsets
 from nutmegslip_decisions.model import Millis
 
 
@@ -147,6 +148,7 @@
     state = without_expired_parts(state, now_ms)
     state = without_expired_ends(state, now_ms)
     state = without_expired_limits(state, now_ms)
+    state = with_subsets(state, now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
     state, refused = refuse_overdue(state, now_ms)
     state, sent = dispatch_all(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -82,6 +82,18 @@
     open_shares: Map[str, float] = Map()
 
 
+class Subset(NamedTuple):
+    """The upstreams of a service that this entry prefers.
+
+    Each upstream is preferred by as many ``owners`` of the entries.
+    """
+
+    entries: tuple[str, ...] = ()
+    upstreams: tuple[str, ...] = ()
+    owners: int = 0
+    members: frozenset[str] = frozenset()
+
+
 class GroupSuspicion(NamedTuple):
     """The epoch in which a group had a rank at fault.
 
@@ -138,7 +150,8 @@
     upstreams that it revived to the time until which they get no requests.
     ``zones_read`` are the zones out of service by the list, ``zones_out`` those in
     force. ``unadmitted`` holds the requests that wait for the first configuration, by
-    ticket; ``waiting`` holds the queues of tickets, by service.
+    ticket; ``waiting`` holds the queues of tickets, and ``subsets`` the upstreams that
+    this entry prefers, by service.
     """
 
     options: Options
@@ -169,6 +182,7 @@
     requests: Map[int, Request] = Map()
     unadmitted: Map[int, Unadmitted] = Map()
     waiting: Map[str, tuple[int, ...]] = Map()
+    subsets: Map[str, Subset] = Map()
 
     def sharing_count(self) -> int:
         """Return the count of entries that share the limits of the fleet."""
