--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -128,6 +128,18 @@
     starts: Map[bool, tuple[int, ...]] = Map()
 
 
+class Subset(NamedTuple):
+    """The upstreams of a service that this entry prefers.
+
+    Each upstream is preferred by as many ``owners`` of the entries.
+    """
+
+    entries: tuple[str, ...] = ()
+    upstreams: tuple[str, ...] = ()
+    owners: int = 0
+    members: frozenset[str] = frozenset()
+
+
 class GroupSuspicion(NamedTuple):
     """The epoch in which a group had a rank at fault.
 
@@ -189,6 +201,9 @@
     force; ``zone_deadlines`` is until when one of them may still get requests, by zone.
     ``unadmitted`` holds the requests that wait for the first configuration, by
     ticket; ``waiting`` holds the queues of tickets, by service.
+    force. ``unadmitted`` holds the requests that wait for the first configuration, by
+    ticket; ``waiting`` holds the queues of tickets, and ``subsets`` the upstreams that
+    this entry prefers, by service.
     """
 
     options: Options
@@ -225,6 +240,7 @@
     requests: Map[int, Request] = Map()
     unadmitted: Map[int, Unadmitted] = Map()
     waiting: Map[str, tuple[int, ...]] = Map()
+    subsets: Map[str, Subset] = Map()
 
     def sharing_count(self) -> int:
         """Return the count of entries that share the limits of the fleet."""
