--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_expert_loads.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_expert_loads.py
@@ -15,6 +15,7 @@
 FAST_INTERVAL_MS = 500  # each read holds up the passes for some ms
 PREVIOUS_LOADS_SHARE = 0.3  # weight of earlier loads, to smooth out single requests
 SHIFT_SHARE = 0.1  # of the choices that moved; single requests move less
+MIN_SHIFT_CHOICES = 4_000  # of a layer; fewer differ by more without a shift
 
 Layers = tuple[tuple[float, ...], ...]
 
@@ -37,9 +38,12 @@
     )
     if not _is_fast(layout):
         return _smooth(previous, layers)
+    few = min(map(sum, layers)) < MIN_SHIFT_CHOICES
     # An interval in which a sampled rank reads a prompt has many times the counts.
     layers = tuple(_shares(layer) for layer in layers)
-    if previous is None or _moved_share(previous, layers) > SHIFT_SHARE:
+    if previous is None:
+        return layers
+    if not few and _moved_share(previous, layers) > SHIFT_SHARE:
         return layers
     return _smooth(previous, layers)
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
@@ -11,7 +11,9 @@
 #: For each rank, the experts that it holds.
 Slots = tuple[tuple[int, ...], ...]
 
+CANDIDATE_EXPERTS = 4  # the busiest rank's experts with the most tokens a replica
 TARGET_RANKS = 4  # the least busy ranks that can take the copy
+CANDIDATE_DROPS = 2  # replicas that leave their other holders the fewest tokens
 FEW_MOVES = 5  # a layer, where a copy takes long or its time is not published
 MANY_MOVES = 24  # a layer; further ones gain nothing
 COPY_TIME_MS = 200  # that a rank copies in a change, on average over the ranks
@@ -149,7 +151,8 @@
     def _moves(self, order: Sequence[int]) -> Iterator[_Move]:
         """Yield the moves of the busiest rank's experts to the least busy ranks."""
         busiest = order[-1]
-        for expert in sorted(self._held[busiest]):
+        experts = sorted(self._held[busiest], key=self._tokens_order)
+        for expert in experts[:CANDIDATE_EXPERTS]:
             targets = [rank for rank in order if self._can_take(rank, expert)]
             for target in targets[:TARGET_RANKS]:
                 for dropped in self._replaceable_slots(target):
@@ -166,7 +169,16 @@
         """Return what a copy may replace: a free place, or one of several replicas."""
         if len(self._held[rank]) < self._places:
             return [None]
-        return [e for e in sorted(self._held[rank]) if len(self._holders[e]) > 1]
+        replicas = [e for e in sorted(self._held[rank]) if len(self._holders[e]) > 1]
+        return sorted(replicas, key=self._taken_over)[:CANDIDATE_DROPS]
+
+    def _tokens_order(self, expert: int) -> tuple[float, int]:
+        return -self._loads[expert] / len(self._holders[expert]), expert
+
+    def _taken_over(self, expert: int) -> float:
+        """Return the tokens added to each other holder if one replica is dropped."""
+        holders = len(self._holders[expert])
+        return self._loads[expert] / holders / (holders - 1)
 
     def _work_after(self, move: _Move) -> dict[int, float]:
         """Return the tokens of each rank that a move changes."""
