Follow shifts of popularity fast only while event gaps come near their bound

Ruled out: a longer interval at all times, which lets each map come into force as the next shift arrives.

Now counts are read each 0.5 s only while the measured gap of the group is above 0.7 of its bound, or unknown; what a shift adds reaches the bound from there. Seen failing first: the interval test with gaps below it.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -58,7 +58,7 @@
 )
 from nutmegslip_decisions.direct._named_limits import limit_report
 from nutmegslip_decisions.direct._options import Options
-from nutmegslip_decisions.direct._pace import open_share, pace_report
+from nutmegslip_decisions.direct._pace import is_near_bound, open_share, pace_report
 from nutmegslip_decisions.direct._part_evidence import Blame, Crash, PartReport
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
@@ -171,6 +171,7 @@
     "hedge_choice",
     "hedge_limit",
     "highest_fence",
+    "is_near_bound",
     "is_paused",
     "is_ready",
     "judge",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_expert_loads.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_expert_loads.py
@@ -20,9 +20,14 @@
 Layers = tuple[tuple[float, ...], ...]
 
 
-def counts_interval_ms(layout: ExpertLayout) -> Millis:
-    """Return how often counts are to be read."""
-    return FAST_INTERVAL_MS if _is_fast(layout) else SLOW_INTERVAL_MS
+def counts_interval_ms(layout: ExpertLayout, *, is_near_bound: bool) -> Millis:
+    """Return how often counts are to be read.
+
+    ``is_near_bound`` is whether the group's event gaps come near their bound; while
+    they do not, no caller gains by a map that follows each shift.
+    """
+    is_fast = is_near_bound and _is_fast(layout)
+    return FAST_INTERVAL_MS if is_fast else SLOW_INTERVAL_MS
 
 
 def next_loads(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
@@ -29,6 +29,7 @@
 MIN_SAMPLES = 3  # their median ignores one pass that was held
 LIFETIME_MS = 2_000  # of a measurement; a slower pass is taken for a stall
 MAX_REPORTS = 9  # whose median counts; bounds the cost with hundreds of entries
+NEAR_SHARE = 0.7  # of the bound; what a shift of popularity adds reaches it from there
 FREE_SHARE = 0.5  # of a gap; pass time grows with about the square root of streams
 
 
@@ -75,6 +76,13 @@
     return open_slots(state, service, group, slots, now_ms) / slots if slots else 1.0
 
 
+def is_near_bound(state: State, service: str, group: str, now_ms: Millis) -> bool:
+    """Return whether a group's event gaps come near their bound, or are unknown."""
+    bound_ms = gap_bound_ms(state, service)
+    pace = _current_pace(state, service, group, now_ms)
+    return not bound_ms or pace is None or pace.gap_ms > NEAR_SHARE * bound_ms
+
+
 def pace_report(state: State, now_ms: Millis) -> PaceReports:
     """Return what this entry itself measures, by service and group."""
     return Map(
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -17,6 +17,7 @@
     Upstream,
     counts_interval_ms,
     highest_fence,
+    is_near_bound,
     is_paused,
     leader_silence_ms,
     next_loads,
@@ -105,7 +106,7 @@
         self._rollouts: dict[str, rollout.State] = {}
         self._members: dict[str, dict[str, Upstream]] = {}
         self._tenure = Tenure()
-        self._next_sample_ms: dict[str, int] = {}
+        self._sampled_ms: dict[str, int] = {}
         self._counts: dict[str, ExpertCounts] = {}
         self._loads: dict[str, tuple[tuple[float, ...], ...]] = {}
 
@@ -172,13 +173,17 @@
         return order * rollout.IDENTITY_COUNT + self._identity
 
     def _is_sample_due(self, name: str, layout: ExpertLayout, now_ms: int) -> bool:
-        """Return whether counts are to be read now, and plan the next reading."""
-        if now_ms < self._next_sample_ms.get(name, 0):
+        """Return whether counts are to be read now; then they are taken for read."""
+        if name not in self._members:
             return False
-        interval_ms = counts_interval_ms(layout)
+        state, (rank, *_) = self._machine.state, self._members[name].values()
+        is_near = is_near_bound(state, rank.service, name, now_ms)
+        interval_ms = counts_interval_ms(layout, is_near_bound=is_near)
         if not self._counts:
             interval_ms = min(interval_ms, FIRST_COUNTS_INTERVAL_MS)
-        self._next_sample_ms[name] = now_ms + interval_ms
+        if now_ms < self._sampled_ms.get(name, 0) + interval_ms:
+            return False
+        self._sampled_ms[name] = now_ms
         return True
 
     def _is_settled(self, group: Group, now_ms: int) -> bool:
--- a/tests/test_direct_expert_maps.py
+++ b/tests/test_direct_expert_maps.py
@@ -101,9 +101,11 @@
         self.assertLess(first / (first + second), 0.54)
 
     def test_counts_are_read_more_often_only_where_a_map_is_copied_fast(self):
-        self.assertEqual(counts_interval_ms(self.FAST), 500)
+        self.assertEqual(counts_interval_ms(self.FAST, is_near_bound=True), 500)
+        self.assertEqual(counts_interval_ms(self.FAST, is_near_bound=False), 1_500)
         for layout in (self.SLOW, ExpertLayout(1, 4, 4, 2)):
-            self.assertEqual(counts_interval_ms(layout), 1_500)
+            interval_ms = counts_interval_ms(layout, is_near_bound=True)
+            self.assertEqual(interval_ms, 1_500)
             before = next_loads(layout, None, [1_000.0, 0.0, 0.0, 0.0])
             after = next_loads(layout, before, [0.0, 100.0, 0.0, 0.0])
             self.assertEqual(after, ((300.0, 100.0, 0.0, 0.0),))
--- a/tests/test_direct_pace.py
+++ b/tests/test_direct_pace.py
@@ -19,6 +19,7 @@
     Send,
     Service,
     Tick,
+    is_near_bound,
     open_share,
     pace_report,
 )
@@ -142,6 +143,15 @@
         world.measure(60.0)
         self.assertEqual(world.share, 1.0)
 
+    def test_gaps_near_their_bound_are_told_apart(self):
+        world = GroupWorld()
+        self.assertTrue(is_near_bound(world.state, "model", "g", world.now_ms))
+        for gap_ms, expected in ((60.0, False), (95.0, True)):
+            for _ in range(3):
+                world.measure(gap_ms)
+            near = is_near_bound(world.state, "model", "g", world.now_ms)
+            self.assertIs(near, expected)
+
     def test_the_slowest_passes_of_a_stream_count_while_it_lasts(self):
         world = GroupWorld()
         for _ in range(3):
