Load the check of a configuration only for its own command

Cause: every entry would have imported it at each start, and memory and the processor time of starts are paid for on each host. Ruled out: a program of its own, which would need a second reading of the same formats.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -1,15 +1,6 @@
 """Decisions of an entry that sends to published upstreams without a sidecar."""
 
 from nutmegslip_decisions.direct._budget import RetryBudget, retry_budget
-from nutmegslip_decisions.direct._configuration_check import (
-    AccountDraft,
-    Difference,
-    Draft,
-    Finding,
-    Severity,
-    differences,
-    findings,
-)
 from nutmegslip_decisions.direct._connections import max_idle_connections
 from nutmegslip_decisions.direct._crash_parts import SUSPECT_CRASHES, part_report
 from nutmegslip_decisions.direct._demand_report import demand_report
@@ -106,7 +97,6 @@
 __all__ = [
     "SUSPECT_CRASHES",
     "Account",
-    "AccountDraft",
     "AttemptFailed",
     "Blame",
     "Broken",
@@ -118,8 +108,6 @@
     "Declined",
     "DeliverFailure",
     "Demand",
-    "Difference",
-    "Draft",
     "Effect",
     "EndedProcess",
     "EngineModel",
@@ -128,7 +116,6 @@
     "EventSplitter",
     "ExpertLayout",
     "Failure",
-    "Finding",
     "GroupRank",
     "Hedge",
     "HedgeDue",
@@ -157,7 +144,6 @@
     "Route",
     "Send",
     "Service",
-    "Severity",
     "SpendingReport",
     "Standing",
     "State",
@@ -181,8 +167,6 @@
     "counts_interval_ms",
     "demand_report",
     "depends_on_one_zone",
-    "differences",
-    "findings",
     "fresh_peers",
     "hedge_choice",
     "hedge_limit",
