--- a/bench/capacity_direct.py
+++ b/bench/capacity_direct.py
@@ -16,6 +16,7 @@
     EndedProcess,
     ListingRead,
     Options,
+    PaceReport,
     PeerReported,
     RequestArrived,
     RequestEnded,
@@ -56,12 +57,14 @@
         state, _ = direct.reduce(state, PeerReported(0, f"peer-{peer}", in_flight))
     report = PeerReported(0, "peer-1", in_flight)
     limited = _with_limits(state)
+    paced = _with_reported_paces(state, peers)
     changed = direct.UpstreamPublished(0, _upstream(0)._replace(slots=11))
     return {
         "upstreams": count,
         "peers": peers,
         "request_ms": _timed(lambda number: _serve(state, number)),
         "request_limited_ms": _timed(lambda number: _serve(limited, number)),
+        "request_paced_ms": _timed(lambda number: _serve(paced, number)),
         "peer_report_ms": _timed(lambda _: direct.reduce(state, report)),
         "listing_change_ms": _timed(lambda _: direct.reduce(state, changed)),
         "peer_report_bytes": len(encode_report(Report(in_flight, ()), 0)),
@@ -72,6 +75,15 @@
     }
 
 
+def _with_reported_paces(state: State, peers: int) -> State:
+    """Return the state in which no pace is measured here, and each peer reports one."""
+    paces = Map({"s": Map({"": PaceReport(0.3, 100.0)})})
+    for peer in range(peers):
+        report = PeerReported(0, f"peer-{peer}", Map(), paces=paces)
+        state, _ = direct.reduce(state, report)
+    return state
+
+
 def _with_limits(state: State) -> State:
     """Return the state in which every third upstream names a limit."""
     for number, upstream in enumerate(state.upstreams.values()):
@@ -91,7 +103,15 @@
 
 def _state(count: int) -> State:
     route = Route(
-        "r", "h", "/", RequestKind.IDEMPOTENT, 8_000, 400, 1, (Target("s", 1),)
+        "r",
+        "h",
+        "/",
+        RequestKind.IDEMPOTENT,
+        8_000,
+        400,
+        1,
+        (Target("s", 1),),
+        gap_ms=120,
     )
     configuration = Configuration(
         1, (route,), Map({"s": Service("s", cold_per_s=28.0)}), RequestLimits(), None
