--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -94,7 +94,7 @@
     def send(self) -> None:
         """Send reports until killed; a retry is reported as it is sent.
 
-        A retry that no peer has heard of when this process is killed would be spent
+        A retry that is not reported when this process is killed would be spent
         from the budget once more.
         """
         retry_sent = self._machine.retry_sent
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -141,7 +141,7 @@
         for entry in self.entries:
             if not entry.is_running:
                 entry.start()
-            # One that was told to stop may end only now, and is started again.
+            # An entry that got a stop signal may end only now, and is started again.
             if not entry.becomes_ready():
                 entry.start()
             entry.wait_ready()
--- a/tests/test_direct_peers.py
+++ b/tests/test_direct_peers.py
@@ -26,7 +26,7 @@
 
 
 class RetryReportTests(unittest.TestCase):
-    """Guard against a kill right after a retry that no other entry has heard of."""
+    """Guard against a kill right after a retry that was not reported yet."""
 
     def test_a_retry_is_reported_as_it_is_sent(self):
         world = World(options=Options("e", address="127.0.0.1", budget_slack=9.0))
