Plan expert maps layer by layer, with streams passed on in between

A plan of two groups takes some 34 ms a reading of the leader's loop, so events of the streams that it passes on came too late. Ruled out: planning in another process, which each entry would pay for in memory, and fewer readings, which the gap decides.

Now the leader yields the event loop after each layer, and the reducer takes the plan if it was made for the map in force, else it plans as before. The plans are the same (tested). Seen failing: the test of other work between layers, with the pause taken out.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/__init__.py
@@ -1,6 +1,7 @@
 """Rollout of a new expert map to a group's ranks, by orders from one process."""
 
 from nutmegslip_decisions.experts.rollout._phases import IDENTITY_COUNT
+from nutmegslip_decisions.experts.rollout._planning import may_begin_change, plan_layers
 from nutmegslip_decisions.experts.rollout._reduce import reduce
 from nutmegslip_decisions.experts.rollout._state import (
     Idle,
@@ -20,7 +21,9 @@
     Hold,
     Layout,
     LayoutRead,
+    Loads,
     LoadsMeasured,
+    MapPlan,
     Order,
     OrderOutcome,
     Outcome,
@@ -48,7 +51,9 @@
     "Idle",
     "Layout",
     "LayoutRead",
+    "Loads",
     "LoadsMeasured",
+    "MapPlan",
     "Options",
     "Order",
     "OrderOutcome",
@@ -63,5 +68,7 @@
     "SendOrder",
     "State",
     "Tick",
+    "may_begin_change",
+    "plan_layers",
     "reduce",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -14,8 +14,6 @@
 
 from nutmegslip_decisions.experts.placement import (
     is_copied_fast,
-    moves_per_layer,
-    plan_even_shares,
 )
 from nutmegslip_decisions.experts.rollout._orders import unconfirmed_orders
 from nutmegslip_decisions.experts.rollout._outcomes import on_outcome
@@ -26,11 +24,11 @@
     distrust_reports,
     enter_phase,
     fresh_reports,
-    is_quiescent,
     next_version,
     start_change,
     take_over,
 )
+from nutmegslip_decisions.experts.rollout._planning import may_begin_change, plan_of
 from nutmegslip_decisions.experts.rollout._state import (
     Arming,
     Clearing,
@@ -47,7 +45,6 @@
     Event,
     GroupUpdated,
     LayoutRead,
-    Loads,
     LoadsMeasured,
     OrderOutcome,
     RankReport,
@@ -97,8 +94,8 @@
             if state.group is None or epoch != state.group.epoch:
                 return state, ()
             return state._replace(layout=layout, layout_version=version), ()
-        case LoadsMeasured(now_ms, loads):
-            next_state = _begin_change(state, loads, now_ms)
+        case LoadsMeasured(now_ms):
+            next_state = _begin_change(state, event)
             if next_state is state:
                 return state, ()
             return _advance_and_send(next_state, now_ms)
@@ -118,27 +115,17 @@
             return _on_tick(state, now_ms)
 
 
-def _begin_change(state: State, loads: Loads, now_ms: Millis) -> State:
+def _begin_change(state: State, event: LoadsMeasured) -> State:
     """Begin a change if its gain is large enough."""
-    is_idle = isinstance(state.phase, Idle) and now_ms >= state.phase.until_ms
-    if not (
-        is_idle and state.is_leader and state.layout and is_quiescent(state, now_ms)
-    ):
+    now_ms, options = event.now_ms, state.options
+    if not may_begin_change(state, now_ms):
         return state
-    options = state.options
-    ranks, layers = len(state.group.ranks), len(state.layout)
-    moves = moves_per_layer(ranks, layers, options.copy_ms)
-    plans = [
-        plan_even_shares(
-            slots, layer, options.places, options.spare, options.copy_ms, moves
-        )
-        for slots, layer in zip(state.layout, loads, strict=True)
-    ]
+    _, plans = plan_of(state, event.loads, event.plan)
     peak_before = sum(plan.peak_before for plan in plans)
     gain = (
         1 - sum(plan.peak_after for plan in plans) / peak_before if peak_before else 0.0
     )
-    is_fast = is_copied_fast(layers, options.spare, options.copy_ms)
+    is_fast = is_copied_fast(len(plans), options.spare, options.copy_ms)
     if gain < (MIN_FAST_GAIN_SHARE if is_fast else MIN_GAIN_SHARE):
         return state
     version = next_version(state)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -4,7 +4,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from nutmegslip_decisions.experts.placement import Slots
+from nutmegslip_decisions.experts.placement import EvenSharePlan, Slots
 from nutmegslip_decisions.model import Millis
 
 #: One entry per layer.
@@ -117,12 +117,23 @@
     layout: Layout
 
 
+class MapPlan(NamedTuple):
+    """What a change makes of each layer of ``layout``, the map in force."""
+
+    layout: Layout
+    layers: tuple[EvenSharePlan, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadsMeasured:
-    """How often each expert was chosen recently."""
+    """How often each expert was chosen recently.
+
+    ``plan`` is what was planned from it already, None if nothing was.
+    """
 
     now_ms: Millis
     loads: Loads
+    plan: MapPlan | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -32,7 +32,9 @@
     GroupUpdated,
     Idle,
     LayoutRead,
+    Loads,
     LoadsMeasured,
+    MapPlan,
     Order,
     OrderOutcome,
     Outcome,
@@ -49,6 +51,7 @@
 
 ROLLOUT_INTERVAL_S = 0.1
 FIRST_COUNTS_INTERVAL_MS = 600  # about ten passes
+PLAN_PAUSE_S = 0.001  # lets the event loop read what has arrived
 SAMPLED_RANKS = 2  # a sixth of a group of 12; the others have a similar load
 
 
@@ -316,7 +319,19 @@
             return
         loads = next_loads(layout, self._loads.get(name), recent)
         self._loads[name] = loads
-        self._dispatch(name, LoadsMeasured(self._machine.clock(), loads))
+        plan = self._plan(name, loads)
+        self._dispatch(name, LoadsMeasured(self._machine.clock(), loads, plan))
+
+    def _plan(self, name: str, loads: Loads) -> MapPlan | None:
+        """Plan a change, with the streams of this entry passed on between layers."""
+        state = self._rollouts[name]
+        if not rollout.may_begin_change(state, self._machine.clock()):
+            return None
+        layers = []
+        for planned in rollout.plan_layers(state, loads):
+            layers.append(planned)
+            gevent.sleep(PLAN_PAUSE_S)
+        return MapPlan(state.layout, tuple(layers))
 
 
 def _complete_group(name: str, members: list[Upstream]) -> Group | None:
--- a/tests/test_direct_expert_maps.py
+++ b/tests/test_direct_expert_maps.py
@@ -8,6 +8,8 @@
 import unittest
 from types import SimpleNamespace
 
+import gevent
+
 from nutmegslip_decisions.direct import (
     ExpertLayout,
     State,
@@ -21,16 +23,21 @@
     Group,
     GroupUpdated,
     Hold,
+    Idle,
     LayoutRead,
     LoadsMeasured,
+    MapPlan,
     Options,
     OrderOutcome,
     Outcome,
     Prepare,
+    Preparing,
     RankReport,
     ReportReceived,
     SendOrder,
     Tick,
+    may_begin_change,
+    plan_layers,
     reduce,
 )
 from nutmegslip_decisions.experts.rollout import State as RolloutState
@@ -55,6 +62,7 @@
             machine, client, lambda: False, 1, StorePosition, SimpleNamespace()
         )
         self.manager._members["g"] = {name: upstream(name) for name in GROUP.ranks}
+        self.manager._rollouts["g"] = RolloutState(Options(1, 4, 2, REPORT_LAG_MS))
         self.manager._dispatch = lambda _, event: self.measured.append(event.loads)
 
     def sample(self, *chosen, epoch=1):
@@ -124,6 +132,38 @@
         self.take(LayoutRead(self.now_ms, 1, 0, LAYOUT))
         self.take(LoadsMeasured(self.now_ms, LOADS))
 
+    def test_a_plan_made_before_begins_the_same_change(self):
+        begun, idle = self.state, self.state._replace(phase=Idle(0))
+        self.assertIsInstance(begun.phase, Preparing)
+        self.assertTrue(may_begin_change(idle, self.now_ms))
+        planned = MapPlan(idle.layout, tuple(plan_layers(idle, LOADS)))
+        other = MapPlan(((), ()), ())  # of a map that is no longer in force
+        for plan in (planned, other, None):
+            with self.subTest(plan=plan):
+                state, _ = reduce(idle, LoadsMeasured(self.now_ms, LOADS, plan))
+                self.assertEqual(state.phase.layout, begun.phase.layout)
+
+    def test_streams_are_passed_on_between_the_layers_of_a_plan(self):
+        """Guard against a plan that holds up the events of streams for its length."""
+        machine = SimpleNamespace(clock=lambda: self.now_ms)
+        manager = ExpertMapManager(
+            machine, None, lambda: False, 1, StorePosition, SimpleNamespace()
+        )
+        layers = 12
+        idle = self.state._replace(phase=Idle(0), layout=LAYOUT * layers)
+        manager._rollouts["g"] = idle
+        turns = []
+        other = gevent.spawn(self._count_turns, turns)
+        plan = manager._plan("g", LOADS * layers)
+        other.kill()
+        self.assertEqual(len(plan.layers), layers)
+        self.assertGreaterEqual(len(turns), layers)
+
+    def _count_turns(self, turns):
+        while True:
+            turns.append(None)
+            gevent.sleep(0)
+
     def take(self, event):
         self.state, effects = reduce(self.state, event)
         return [effect.order for effect in effects if isinstance(effect, SendOrder)]
