Keep streams and experts away from ranks that report to be slow

Cause: one rank of 72 that turns slow sets the length of every pass.

Ranks report their pace, which nothing read. The entry that changes maps reads it with the reports that it reads anyway and tells the others, so no search for the slow rank is needed; group tests and regression of gaps were ruled out by that. Three levers: no new streams there while at most a third of the group is slow, streams in flight on a rank three times slower go on at another rank of the group, and the planner of maps weighs a rank's tokens by its slowness and plans at once from the loads it knows.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -19,10 +19,12 @@
     Hedge,
     HedgeDue,
     ListingRead,
+    Moved,
     NotSent,
     OptionsChanged,
     PaceMeasured,
     PeerReported,
+    RankRead,
     RefusalKind,
     Refuse,
     RequestArrived,
@@ -58,11 +60,16 @@
 )
 from nutmegslip_decisions.direct._named_limits import limit_report
 from nutmegslip_decisions.direct._options import Options
-from nutmegslip_decisions.direct._pace import is_near_bound, open_share, pace_report
+from nutmegslip_decisions.direct._pace import (
+    is_near_bound,
+    open_share,
+    pace_report,
+)
 from nutmegslip_decisions.direct._part_evidence import Blame, Crash, PartReport
 from nutmegslip_decisions.direct._pauses import is_paused
 from nutmegslip_decisions.direct._peers import fresh_peers
 from nutmegslip_decisions.direct._reduce import is_ready, load_report, reduce
+from nutmegslip_decisions.direct._slow_ranks import SLOW_FACTOR, slowness_report
 from nutmegslip_decisions.direct._spending import spending_report
 from nutmegslip_decisions.direct._state import Process, State
 from nutmegslip_decisions.direct._store_position import (
@@ -70,6 +77,7 @@
     Verdict,
     judge,
 )
+from nutmegslip_decisions.direct._stream_moves import should_move
 from nutmegslip_decisions.direct._types import (
     Account,
     CallerRequest,
@@ -95,6 +103,7 @@
 )
 
 __all__ = [
+    "SLOW_FACTOR",
     "SUSPECT_CRASHES",
     "Account",
     "AttemptFailed",
@@ -122,6 +131,7 @@
     "HedgeLimit",
     "ListingRead",
     "Measure",
+    "Moved",
     "NamedLimit",
     "NotSent",
     "Options",
@@ -132,6 +142,7 @@
     "PartReport",
     "PeerReported",
     "Process",
+    "RankRead",
     "RefusalKind",
     "Refuse",
     "Request",
@@ -186,6 +197,8 @@
     "part_report",
     "reduce",
     "retry_budget",
+    "should_move",
+    "slowness_report",
     "spending_report",
     "standing_of",
 ]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_choice.py
@@ -6,8 +6,9 @@
 to the same upstream until the next reports arrive. Of two that differ by less than a
 slot it takes one in its own availability zone: traffic between zones is dear, and the
 ranks of a group run in one pass, whichever of them has the request. Cold upstreams
-are limited to their rate, and failing upstreams are avoided for a while. A request
-that dead addresses have refused goes to another group, as a zone loses many at once.
+are limited to their rate, failing upstreams are avoided for a while, and slow ranks
+get nothing while their group can spare them. A request that dead addresses have
+refused goes to another group, as a zone loses many at once.
 """
 
 from collections import Counter
@@ -22,6 +23,7 @@
 from nutmegslip_decisions.direct._groups import is_usable
 from nutmegslip_decisions.direct._last_resort import usable_zones
 from nutmegslip_decisions.direct._pace import open_slots
+from nutmegslip_decisions.direct._slow_ranks import avoided_ranks
 from nutmegslip_decisions.direct._state import State, UpstreamStats
 from nutmegslip_decisions.direct._types import Request, Upstream
 from nutmegslip_decisions.direct._upstream_shares import (
@@ -130,8 +132,13 @@
     return min(sampled, key=lambda candidate: candidate.cost(zone)).upstream
 
 
-def capacity_of(state: State, service: str, now_ms: Millis) -> Capacity:
-    """Return the current capacity of a service."""
+def capacity_of(
+    state: State, service: str, now_ms: Millis, *, open_group: str | None = None
+) -> Capacity:
+    """Return the current capacity of a service.
+
+    All slots of ``open_group`` count as open, also those that its pace closes.
+    """
     cold_limit = cold_limit_per_entry(state, service)
     load = load_of(state, service)
     slots: Counter[str] = Counter()
@@ -143,7 +150,10 @@
     limited = False
     rare = meets_rarely(state, service, now_ms)
     subset = state.subsets.get(service) if rare else None
+    avoided = avoided_ranks(state, service)
     for upstream, stats in _usable_upstreams(state, service, now_ms):
+        if upstream.id in avoided:
+            continue
         if stats.paused_until_ms > now_ms:
             pauses.append(stats.paused_until_ms)
             continue
@@ -165,7 +175,11 @@
         group: open_slots(state, service, group, count, now_ms)
         for group, count in slots.items()
     }
-    free_groups = {g for g, count in open_counts.items() if taken[g] < count}
+    free_groups = {
+        group
+        for group, count in open_counts.items()
+        if taken[group] < count or group == open_group
+    }
     return Capacity(
         tuple(
             candidate
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -26,6 +26,7 @@
 _NO_LIMITS: Map[str, NamedLimit] = Map()
 _NO_PACES: PaceReports = Map()
 _NO_DEMAND: Demand = Map()
+_NO_SLOW_RANKS: Map[str, float] = Map()
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +161,19 @@
     limits: Map[str, NamedLimit] = _NO_LIMITS
     paces: PaceReports = _NO_PACES
     demand: Demand = _NO_DEMAND
+    slow_ranks: Map[str, float] = _NO_SLOW_RANKS
+
+
+@dataclass(frozen=True, slots=True)
+class RankRead:
+    """This entry has read how slow a rank reports itself to be.
+
+    ``slowness`` is how many times as long as usual it takes for its work.
+    """
+
+    now_ms: Millis
+    upstream_id: str
+    slowness: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +222,12 @@
     """The upstream ran the request and answered with an error."""
 
 
-Failure = NotSent | Declined | Broken | Errored
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """The stream was broken off to be resumed at another rank of its group."""
+
+
+Failure = NotSent | Declined | Broken | Errored | Moved
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,6 +314,7 @@
     | UpstreamLimited
     | OptionsChanged
     | PeerReported
+    | RankRead
     | RequestArrived
     | AttemptFailed
     | ResponseStarted
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
@@ -11,6 +11,7 @@
     Declined,
     Errored,
     Failure,
+    Moved,
     NotSent,
 )
 from nutmegslip_decisions.direct._state import State, UpstreamStats
@@ -36,14 +37,14 @@
             return len(request.tried) < MAX_UNSENT_ATTEMPTS
         case Declined():
             safe = True
-        case Broken() | Errored():
+        case Broken() | Errored() | Moved():
             safe = request.route.repeatable
     return safe and request.sends < request.route.attempts
 
 
 def may_have_executed(failure: Failure) -> bool:
     """Return whether the upstream may have run the request."""
-    return isinstance(failure, Broken | Errored)
+    return isinstance(failure, Broken | Errored | Moved)
 
 
 def stats_after_failure(
@@ -51,7 +52,7 @@
 ) -> UpstreamStats:
     """Return the statistics of an upstream after a failed attempt."""
     match failure:
-        case Errored():
+        case Errored() | Moved():
             return stats
         case Declined(misdirected=True):
             return stats._replace(avoid_until_ms=now_ms + MISDIRECTED_AVOID_MS)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_reduce.py
@@ -1,5 +1,7 @@
 """The reducer of an entry that sends to upstreams directly."""
 
+from immutables import Map
+
 from nutmegslip_decisions.direct._crash_parts import (
     with_part_report,
     without_expired_parts,
@@ -26,6 +28,7 @@
     OptionsChanged,
     PaceMeasured,
     PeerReported,
+    RankRead,
     RequestArrived,
     RequestEnded,
     ResponseStarted,
@@ -68,6 +71,11 @@
     without_copy,
     without_withheld,
 )
+from nutmegslip_decisions.direct._slow_ranks import (
+    with_rank_read,
+    with_reported_slowness,
+    without_expired_slowness,
+)
 from nutmegslip_decisions.direct._spending import without_expired_ends
 from nutmegslip_decisions.direct._starting import (
     admit_all,
@@ -110,11 +118,16 @@
                 spending,
                 event.paces,
                 event.demand,
+                event.slow_ranks,
             )
             state = with_report(state, peer, report)
             old_parts = old.parts if old else PartReport()
             state = with_part_report(state, old_parts, parts, now_ms)
             state = with_reported_limits(state, peer, limits)
+            old_slow = old.slow_ranks if old else Map()
+            state = with_reported_slowness(
+                state, peer, old_slow, event.slow_ranks, now_ms
+            )
             return dispatch_all(state, now_ms)
         case ConfigurationPublished(_, configuration):
             return with_configuration(state, configuration), ()
@@ -148,6 +161,8 @@
                 return state, ()
             state = with_named_limit(state, upstream, per_s, sent_ms, now_ms)
             return dispatch(state, upstream.service, now_ms)
+        case RankRead(now_ms, upstream_id, slowness):
+            return with_rank_read(state, upstream_id, slowness, now_ms), ()
         case OptionsChanged(_, options):
             return state._replace(options=options), ()
 
@@ -164,6 +179,7 @@
     state = without_expired_ends(state, now_ms)
     state = without_expired_limits(state, now_ms)
     state = without_expired_paces(state, now_ms)
+    state = without_expired_slowness(state, now_ms)
     state = with_fair_shares(without_expired_demand(state, now_ms), now_ms)
     state = with_subsets(state, now_ms)
     state, unadmitted = refuse_unadmitted(state, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -17,6 +17,7 @@
     dispatch,
     refuse_failed,
     remove_request,
+    send,
     send_or_queue,
 )
 from nutmegslip_decisions.direct._events import (
@@ -26,6 +27,8 @@
     Declined,
     DeliverFailure,
     Errored,
+    Failure,
+    Moved,
     NotSent,
     RefusalKind,
     Refuse,
@@ -47,6 +50,7 @@
 )
 from nutmegslip_decisions.direct._routes import pick_service, priority_of
 from nutmegslip_decisions.direct._state import State
+from nutmegslip_decisions.direct._stream_moves import rank_to_move_to
 from nutmegslip_decisions.direct._types import Account, CallerRequest, Request, Route
 from nutmegslip_decisions.model import Millis
 
@@ -172,6 +176,7 @@
     if isinstance(failure, NotSent):
         state = with_upstream_gone(state, request.upstream, now_ms)
     sent = not _is_unsent(failure)
+    left = request.upstream
     request = request._replace(
         upstream=remaining.upstream if remaining else "",
         sent_at_ms=remaining.sent_at_ms if remaining else request.sent_at_ms,
@@ -189,7 +194,7 @@
         return dispatch(state, request.service, now_ms)
     repeat = not (crashed and is_suspected(state, request))
     if repeat and may_retry(state, request, failure, now_ms):
-        state, effects = send_or_queue(state, request, now_ms)
+        state, effects = _repeat(state, request, failure, left, now_ms)
     elif isinstance(failure, Errored):
         state, effects = (
             remove_request(state, request),
@@ -201,6 +206,17 @@
     return state, (*effects, *more)
 
 
+def _repeat(
+    state: State, request: Request, failure: Failure, left: str, now_ms: Millis
+) -> Step:
+    """Send or queue a request whose attempt at ``left`` has failed."""
+    if isinstance(failure, Moved):
+        upstream = rank_to_move_to(state, request, left, now_ms)
+        if upstream is not None:
+            return send(state, request, upstream.id, now_ms)
+    return send_or_queue(state, request, now_ms)
+
+
 def _with_group_suspicion(state: State, upstream_id: str, now_ms: Millis) -> State:
     upstream = state.upstreams.get(upstream_id)
     return state if upstream is None else with_suspicion(state, upstream, now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_state.py
@@ -60,6 +60,7 @@
     spending: SpendingReport = SpendingReport()
     paces: PaceReports = Map()
     demand: Demand = Map()
+    slow_ranks: Map[str, float] = Map()
 
 
 class OwnDemand(NamedTuple):
@@ -140,6 +141,17 @@
     members: frozenset[str] = frozenset()
 
 
+class SlowRank(NamedTuple):
+    """How many times as long as usual a rank takes, as it reports until ``until_ms``.
+
+    ``peer`` is the entry that has read it, empty for this one.
+    """
+
+    slowness: float
+    until_ms: Millis
+    peer: str = ""
+
+
 class GroupSuspicion(NamedTuple):
     """The epoch in which a group had a rank at fault.
 
@@ -200,10 +212,9 @@
     ``zones_read`` are the zones out of service by the list, ``zones_out`` those in
     force; ``zone_deadlines`` is until when one of them may still get requests, by zone.
     ``unadmitted`` holds the requests that wait for the first configuration, by
-    ticket; ``waiting`` holds the queues of tickets, by service.
-    force. ``unadmitted`` holds the requests that wait for the first configuration, by
     ticket; ``waiting`` holds the queues of tickets, and ``subsets`` the upstreams that
-    this entry prefers, by service.
+    this entry prefers, by service. ``slow_ranks`` are ranks that report to be slow, by
+    upstream.
     """
 
     options: Options
@@ -241,6 +252,7 @@
     unadmitted: Map[int, Unadmitted] = Map()
     waiting: Map[str, tuple[int, ...]] = Map()
     subsets: Map[str, Subset] = Map()
+    slow_ranks: Map[str, SlowRank] = Map()
 
     def sharing_count(self) -> int:
         """Return the count of entries that share the limits of the fleet."""
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/placement/_even_shares.py
@@ -2,7 +2,9 @@
 
 Answers the load pattern in which a few experts become popular and the ranks that hold
 them slow down all others in lock-step. As many copies are made as the ranks' links
-carry in a short time; each must gain more than the passes lose meanwhile.
+carry in a short time; each must gain more than the passes lose meanwhile. A rank that
+turns slow takes many times as long for the same tokens, so that its experts move to
+other ranks.
 """
 
 from collections.abc import Iterator, Sequence
@@ -24,7 +26,7 @@
 
 
 class EvenSharePlan(NamedTuple):
-    """A layer's new slots, and the busiest rank's tokens before and after."""
+    """A layer's new slots, and the busiest rank's work before and after."""
 
     slots: Slots
     peak_before: float
@@ -66,14 +68,16 @@
     spare: int,
     copy_ms: float = 0.0,
     max_moves: int = FEW_MOVES,
+    slowness: Sequence[float] = (),
 ) -> EvenSharePlan:
-    """Return slots for one layer that lower the busiest rank's tokens.
+    """Return slots for one layer that lower the busiest rank's work.
 
     ``places`` is the number of experts that a rank can hold, ``spare`` how many of
     them may be new to it in one change. The longer an expert takes to copy,
-    ``copy_ms``, the more a copy must gain.
+    ``copy_ms``, the more a copy must gain. ``slowness`` is how many times as long as
+    usual each rank takes for a token, empty if none is slow.
     """
-    search = _LayerPlanner(current, loads, places, spare)
+    search = _LayerPlanner(current, loads, places, spare, slowness)
     peaks = [search.peak()]
     moves = []
     while len(moves) < max_moves and (move := search.best_move()) is not None:
@@ -82,7 +86,7 @@
         peaks.append(search.peak())
     min_gain = _min_gain(copy_ms) * peaks[0]
     count = min(range(len(peaks)), key=lambda made: peaks[made] + min_gain * made)
-    chosen = _LayerPlanner(current, loads, places, spare)
+    chosen = _LayerPlanner(current, loads, places, spare, slowness)
     for move in moves[:count]:
         chosen.apply(move)
     return EvenSharePlan(chosen.slots(), peaks[0], peaks[count])
@@ -95,12 +99,21 @@
 
 
 class _LayerPlanner:
-    """The placement of one layer during its change."""
+    """The placement of one layer during its change.
+
+    The work of a rank is its tokens, times its slowness.
+    """
 
     def __init__(
-        self, current: Slots, loads: Sequence[float], places: int, spare: int
+        self,
+        current: Slots,
+        loads: Sequence[float],
+        places: int,
+        spare: int,
+        slowness: Sequence[float],
     ) -> None:
         self._loads = loads
+        self._slowness = slowness or (1.0,) * len(current)
         self._places = places
         self._spare = spare
         self._old = [frozenset(experts) for experts in current]
@@ -110,12 +123,12 @@
             for expert in experts:
                 self._holders[expert].add(rank)
         self._work = [
-            sum(loads[expert] / len(self._holders[expert]) for expert in experts)
-            for experts in current
+            factor * sum(loads[e] / len(self._holders[e]) for e in experts)
+            for experts, factor in zip(current, self._slowness, strict=True)
         ]
 
     def peak(self) -> float:
-        """Return the busiest rank's tokens."""
+        """Return the busiest rank's work."""
         return max(self._work)
 
     def slots(self) -> Slots:
@@ -153,12 +166,18 @@
         busiest = order[-1]
         experts = sorted(self._held[busiest], key=self._tokens_order)
         for expert in experts[:CANDIDATE_EXPERTS]:
-            targets = [rank for rank in order if self._can_take(rank, expert)]
-            for target in targets[:TARGET_RANKS]:
+            takers = [rank for rank in order if self._can_take(rank, expert)]
+            tokens = self._loads[expert] / len(self._holders[expert])
+            takers.sort(key=lambda rank: self._work_with(rank, tokens))
+            for target in takers[:TARGET_RANKS]:
                 for dropped in self._replaceable_slots(target):
                     yield _Move(expert, target, dropped, None)
                     yield _Move(expert, target, dropped, busiest)
 
+    def _work_with(self, rank: int, tokens: float) -> float:
+        """Return the work of a rank that gets so many more tokens."""
+        return self._work[rank] + tokens * self._slowness[rank]
+
     def _can_take(self, rank: int, expert: int) -> bool:
         if expert in self._held[rank]:
             return False
@@ -181,20 +200,27 @@
         return self._loads[expert] / holders / (holders - 1)
 
     def _work_after(self, move: _Move) -> dict[int, float]:
-        """Return the tokens of each rank that a move changes."""
+        """Return the work of each rank that a move changes."""
+        return {
+            rank: self._work[rank] + added * self._slowness[rank]
+            for rank, added in self._tokens_added(move).items()
+        }
+
+    def _tokens_added(self, move: _Move) -> dict[int, float]:
+        """Return how the tokens of each rank change by a move."""
         expert, target, dropped, left = move
         holders, load = self._holders[expert], self._loads[expert]
         share = load / len(holders)
         new_share = load / (len(holders) + (left is None))
-        work = {rank: self._work[rank] - share + new_share for rank in holders}
-        work[target] = self._work[target] + new_share
+        added = dict.fromkeys(holders, new_share - share)
+        added[target] = new_share
         if left is not None:
-            work[left] = self._work[left] - share
+            added[left] = -share
         if dropped is not None:
             holders, load = self._holders[dropped], self._loads[dropped]
             share = load / len(holders)
             taken_over = load / (len(holders) - 1) - share
             for rank in holders:
-                work[rank] = work.get(rank, self._work[rank]) + taken_over
-            work[target] -= share + taken_over
-        return work
+                added[rank] = added.get(rank, 0.0) + taken_over
+            added[target] -= share + taken_over
+        return added
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_planning.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_planning.py
@@ -12,7 +12,10 @@
     moves_per_layer,
     plan_even_shares,
 )
-from nutmegslip_decisions.experts.rollout._phases import is_quiescent
+from nutmegslip_decisions.experts.rollout._phases import (
+    is_quiescent,
+    latest_report,
+)
 from nutmegslip_decisions.experts.rollout._state import Idle, State
 from nutmegslip_decisions.experts.rollout._types import Loads, MapPlan
 from nutmegslip_decisions.model import Millis
@@ -30,12 +33,25 @@
     """Yield the plan of each layer of the map in force."""
     options, layout = state.options, state.layout
     moves = moves_per_layer(len(state.group.ranks), len(layout), options.copy_ms)
+    slowness = _slowness(state)
     for slots, layer in zip(layout, loads, strict=True):
         yield plan_even_shares(
-            slots, layer, options.places, options.spare, options.copy_ms, moves
+            slots,
+            layer,
+            options.places,
+            options.spare,
+            options.copy_ms,
+            moves,
+            slowness,
         )
 
 
+def _slowness(state: State) -> tuple[float, ...]:
+    """Return how slow each rank is by its latest report."""
+    reports = [latest_report(state, rank) for rank in state.group.ranks]
+    return tuple(1.0 if report is None else report.slowness for report in reports)
+
+
 def plan_of(state: State, loads: Loads, planned: MapPlan | None) -> MapPlan:
     """Return what was planned for the map in force, or plan it now."""
     if planned is not None and planned.layout is state.layout:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -25,7 +25,8 @@
 
     ``step`` is the last pass that began. ``prepared`` is the version that is ready to
     use. ``armed`` is (version, step). ``held`` is the pass that the group does not
-    begin before it is released.
+    begin before it is released. ``slowness`` is how many times as long as usual the
+    rank takes for its work, 1 at least.
     """
 
     epoch: int
@@ -34,6 +35,7 @@
     prepared: int | None
     armed: tuple[int, int] | None
     held: int | None
+    slowness: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -14,6 +14,7 @@
     Errored,
     EventSplitter,
     Failure,
+    Moved,
     NotSent,
     Refuse,
     Request,
@@ -23,6 +24,7 @@
     ResponseStarted,
     Send,
     Upstream,
+    should_move,
 )
 from nutmegslip_entry.direct._callers import Caller
 from nutmegslip_entry.direct._header_codec import (
@@ -200,7 +202,7 @@
             if not self._send_request(connection, request, upstream):
                 return NotSent("the deadline passed before the request was sent")
             failure = self._relay_answer(connection, request, upstream)
-            answer_read = True
+            answer_read = not isinstance(failure, Moved)
         except ConnectionBroken as error:
             return Broken(str(error), closed=isinstance(error, ConnectionClosed))
         finally:
@@ -236,8 +238,7 @@
             return answer
         if _is_stream(answer):
             self._events.restart()
-            self._relay_stream(connection, answer, request, upstream)
-            return None
+            return self._relay_stream(connection, answer, request, upstream)
         self._machine.dispatch(ResponseStarted(self._machine.clock(), request.ticket))
         body = connection.read_whole_body(request.deadline_ms)
         complete = CompleteAnswer(answer, body)
@@ -330,17 +331,18 @@
         """Forward a stream from its first events on; return the failure, if any."""
         connection, self._events = begun.connection, begun.splitter
         answer_read = False
+        moved = None
         try:
             if begun.events:
                 self._caller.stream(
                     begun.answer, begun.events, self._http_request.version
                 )
-                self._relay_stream(
+                moved = self._relay_stream(
                     connection, begun.answer, request, upstream, self._machine.clock()
                 )
             else:
                 self._end_stream(begun.answer)
-            answer_read = True
+            answer_read = moved is None
         except ConnectionBroken as error:
             return Broken(str(error), closed=isinstance(error, ConnectionClosed))
         finally:
@@ -348,7 +350,7 @@
                 self.kept_until_ms = self._pool.release(upstream, connection)
             else:
                 connection.close()
-        return None
+        return moved
 
     def _skip_rejection_body(
         self, connection: ClientConnection, request: Request
@@ -396,8 +398,11 @@
         request: Request,
         upstream: Upstream,
         last_ms: int = 0,
-    ) -> None:
-        """Forward the events of a stream; ``last_ms`` is when the last one arrived."""
+    ) -> Moved | None:
+        """Forward the events of a stream, up to where it is to be moved, if so.
+
+        ``last_ms`` is when the last event arrived, 0 before the first.
+        """
         read: Callable[[], bytes] = lambda: connection.read_body(  # noqa: E731
             request.deadline_ms
         )
@@ -413,7 +418,10 @@
                     self._machine.dispatch(ResponseStarted(now_ms, request.ticket))
                 last_ms = now_ms
                 self._caller.stream(answer, events, self._http_request.version)
+                if should_move(self._machine.state, request.ticket, now_ms):
+                    return Moved()
         self._end_stream(answer)
+        return None
 
     def _end_stream(self, answer: ResponseHead) -> None:
         if not self._events.is_complete:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -10,7 +10,9 @@
 import gevent
 
 from nutmegslip_decisions.direct import (
+    SLOW_FACTOR,
     ExpertLayout,
+    RankRead,
     Standing,
     StorePosition,
     Tenure,
@@ -70,6 +72,13 @@
     experts: tuple[tuple[int, ...], ...]
 
 
+class GroupCondition(NamedTuple):
+    """What a plan of a group's map depends on besides the loads of its experts."""
+
+    epoch: int
+    slow_ranks: frozenset[str]
+
+
 class RankClient(Protocol):
     """Calls to ranks."""
 
@@ -111,7 +120,8 @@
         self._tenure = Tenure()
         self._sampled_ms: dict[str, int] = {}
         self._counts: dict[str, ExpertCounts] = {}
-        self._loads: dict[str, tuple[tuple[float, ...], ...]] = {}
+        self._loads: dict[str, Loads] = {}
+        self._planned_for: dict[str, GroupCondition] = {}
 
     @property
     def standing(self) -> Standing:
@@ -142,10 +152,14 @@
                     self._rollouts[name] = rollout.State(options)
                 self._dispatch(name, GroupUpdated(now_ms, group))
                 self._dispatch(name, Tick(now_ms, is_leader, fence, silence_ms))
-                if not is_leader or not self._is_sample_due(name, layout, now_ms):
+                if not is_leader or group is None:
                     continue
-                if group is not None and self._is_settled(group, now_ms):
+                if not self._is_settled(group, now_ms):
+                    continue
+                if self._is_sample_due(name, layout, now_ms):
                     gevent.spawn(self._sample_loads, name, group, layout)
+                elif self._is_replan_due(name, now_ms):
+                    gevent.spawn(self._plan_change, name, self._loads[name])
 
     def _check_leadership(self, now_ms: int) -> bool:
         """Return whether this entry may begin changes."""
@@ -189,6 +203,19 @@
         self._sampled_ms[name] = now_ms
         return True
 
+    def _is_replan_due(self, name: str, now_ms: int) -> bool:
+        """Return whether known loads are to be planned for again.
+
+        That is so if the group has formed anew, with its first map, or other ranks of
+        it are slow; the next counts would come too late.
+        """
+        state = self._rollouts[name]
+        return (
+            name in self._loads
+            and rollout.may_begin_change(state, now_ms)
+            and self._planned_for.get(name) != _condition(state)
+        )
+
     def _is_settled(self, group: Group, now_ms: int) -> bool:
         """Return whether a change of the group's map can last.
 
@@ -274,8 +301,13 @@
         if is_paused(self._machine.state, rank.id, self._machine.clock()):
             return  # the change waits for a fresh report
         report = self._rank_client.report(rank)
-        if report is not None:
-            self._dispatch(name, ReportReceived(self._machine.clock(), rank.id, report))
+        if report is None:
+            return
+        now_ms = self._machine.clock()
+        known = rank.id in self._machine.state.slow_ranks
+        if known or report.slowness >= SLOW_FACTOR:
+            self._machine.dispatch(RankRead(now_ms, rank.id, report.slowness))
+        self._dispatch(name, ReportReceived(now_ms, rank.id, report))
 
     def _read_layout(self, name: str, ranks: list[Upstream]) -> None:
         jobs = [gevent.spawn(self._rank_client.layout, rank) for rank in ranks]
@@ -319,6 +351,10 @@
             return
         loads = next_loads(layout, self._loads.get(name), recent)
         self._loads[name] = loads
+        self._plan_change(name, loads)
+
+    def _plan_change(self, name: str, loads: Loads) -> None:
+        self._planned_for[name] = _condition(self._rollouts[name])
         plan = self._plan(name, loads)
         self._dispatch(name, LoadsMeasured(self._machine.clock(), loads, plan))
 
@@ -334,6 +370,15 @@
         return MapPlan(state.layout, tuple(layers))
 
 
+def _condition(state: rollout.State) -> GroupCondition:
+    slow_ranks = frozenset(
+        rank
+        for rank, (_, report) in state.reports.items()
+        if report.slowness >= SLOW_FACTOR
+    )
+    return GroupCondition(state.group.epoch if state.group else 0, slow_ranks)
+
+
 def _complete_group(name: str, members: list[Upstream]) -> Group | None:
     ranks = sorted(members, key=lambda upstream: upstream.rank.rank)
     epochs = {upstream.rank.epoch for upstream in ranks}
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_log_lines.py
@@ -18,6 +18,7 @@
     Hedge,
     HedgeDue,
     ListingRead,
+    Moved,
     NotSent,
     PaceMeasured,
     Refuse,
@@ -145,6 +146,7 @@
     yield from _suspicion_lines(before, after)
     yield from _part_lines(before, after)
     yield from _limit_lines(before, after)
+    yield from _slow_rank_lines(before, after)
     yield from _fair_share_lines(before, after)
     yield from (
         line
@@ -241,6 +243,24 @@
             )
 
 
+def _slow_rank_lines(before: State, after: State) -> Iterator[LogLine]:
+    """Yield a line for each rank that turned slow, or no longer is."""
+    old, new = before.slow_ranks, after.slow_ranks
+    if old is new:
+        return
+    for upstream_id, rank in new.items():
+        if upstream_id not in old:
+            yield _log_line(
+                "rank-slow",
+                upstream=upstream_id,
+                slowness=round(rank.slowness, 2),
+                source=rank.peer or "report",
+            )
+    for upstream_id in old:
+        if upstream_id not in new:
+            yield _log_line("rank-recovered", upstream=upstream_id)
+
+
 def _fair_share_lines(before: State, after: State) -> Iterator[LogLine]:
     """Yield a line for each service whose slots became scarce, or are no longer."""
     old, new = before.fair_slots, after.fair_slots
@@ -385,6 +405,8 @@
             return "the upstream is full"
         case Errored():
             return "the upstream ran the request and failed"
+        case Moved():
+            return "the rank is slow; the stream goes on at another one"
 
 
 def _reports_age_ms(state: State, now_ms: int) -> int:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_peers.py
@@ -19,6 +19,7 @@
     load_report,
     pace_report,
     part_report,
+    slowness_report,
     spending_report,
 )
 from nutmegslip_entry.direct._reports import (
@@ -88,6 +89,7 @@
                 report.limits,
                 report.paces,
                 report.demand,
+                report.slow_ranks,
             )
         )
 
@@ -109,7 +111,8 @@
             limits = limit_report(state, now_ms)
             loads = load_report(state), part_report(state)
             paces, demand = pace_report(state, now_ms), demand_report(state, now_ms)
-            current = *loads, standing, spending, limits, paces, demand
+            slow_ranks = slowness_report(state)
+            current = *loads, standing, spending, limits, paces, demand, slow_ranks
             unchanged = current == last and not standing.leads
             if unchanged and number % HEARTBEAT_INTERVALS:
                 continue
@@ -124,6 +127,7 @@
                 limits,
                 paces,
                 demand,
+                slow_ranks,
             )
             data = encode_report(report, now_ms)
             for host in self._known_peers():
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -44,6 +44,7 @@
     limits: Map[str, NamedLimit] = Map()
     paces: PaceReports = Map()
     demand: Demand = Map()
+    slow_ranks: Map[str, float] = Map()
 
 
 def encode_report(report: Report, now_ms: Millis) -> bytes:
@@ -78,8 +79,12 @@
         service: {group: list(pace) for group, pace in groups.items()}
         for service, groups in report.paces.items()
     }
-    demand = [_encode_demand(report.demand)] if report.demand else []
-    return cbor2.dumps([*encoded, fields, spending, limits, places, paces, *demand])
+    later: list[dict] = []
+    if report.demand or report.slow_ranks:
+        later.append(_encode_demand(report.demand))
+    if report.slow_ranks:
+        later.append(dict(report.slow_ranks))
+    return cbor2.dumps([*encoded, fields, spending, limits, places, paces, *later])
 
 
 def _encode_demand(demand: Demand) -> dict[str, dict[str, dict[str, int]]]:
@@ -114,6 +119,7 @@
             _decode_limits(more[3], now_ms) if more[3:] else Map(),
             _decode_paces(more[5]) if more[5:] else Map(),
             _decode_demand(more[6]) if more[6:] else Map(),
+            _decode_slow_ranks(more[7]) if more[7:] else Map(),
         )
     except (
         cbor2.CBORDecodeError,
@@ -217,6 +223,13 @@
     )
 
 
+def _decode_slow_ranks(slow_ranks: dict) -> Map[str, float]:
+    found = {str(rank): float(slowness) for rank, slowness in slow_ranks.items()}
+    if not all(math.isfinite(slowness) for slowness in found.values()):
+        raise ValueError("the slowness of a rank is no number")
+    return Map(found)
+
+
 def _duration_ms(value: float) -> float:
     if not (math.isfinite(value) and value >= 0):
         raise ValueError(f"{value} is no duration in ms")
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -331,6 +331,23 @@
         "If 'limit' is frequent, consider a higher hedge.max_share.",
         ("service", "reason"),
     ),
+    EventKind(
+        2046,
+        "rank-slow",
+        Level.WARNING,
+        "A rank reports that its work takes 'slowness' times as long as usual; it gets "
+        "no new streams while its group can spare it.",
+        "If it lasts, check the host of the upstream, or take it out of service.",
+        ("upstream", "slowness", "source"),
+    ),
+    EventKind(
+        2047,
+        "rank-recovered",
+        Level.INFO,
+        "A rank is no longer reported as slow; it gets streams again.",
+        NO_REMEDY,
+        ("upstream",),
+    ),
     EventKind(
         2101,
         "request-sent",
--- a/tests/test_experts_placement.py
+++ b/tests/test_experts_placement.py
@@ -159,6 +159,27 @@
             self.assert_can_be_prepared(slots)
             self.slots = slots
 
+    def test_one_change_takes_the_experts_from_slow_ranks(self):
+        """A rank that takes 12 times as long makes all others wait for its experts."""
+        for slow in (1, 11):
+            with self.subTest(slow=slow):
+                slowness = [12.0] * slow + [1.0] * (self.RANKS - slow)
+                loads = self.popularity()
+                planned = plan_even_shares(
+                    self.slots, loads, self.PLACES, self.SPARE, 5.8, 24, slowness
+                )
+                self.assert_can_be_prepared(planned.slots)
+                self.assertFalse(any(planned.slots[:slow]))
+                self.assertLess(planned.peak_after, planned.peak_before / 4)
+
+    def test_a_rank_that_is_a_little_slower_gets_fewer_tokens(self):
+        loads = [1.0] * self.EXPERTS
+        slowness = [1.6] + [1.0] * (self.RANKS - 1)
+        planned = plan_even_shares(
+            self.slots, loads, self.PLACES, self.SPARE, 5.8, 24, slowness
+        )
+        self.assertLess(planned.peak_after, planned.peak_before)
+
     def assert_can_be_prepared(self, slots: Slots) -> None:
         self.assertEqual(set(itertools.chain(*slots)), set(range(self.EXPERTS)))
         for old, new in zip(self.slots, slots, strict=True):
