Choose the pass of a map switch by time, and drop the gaps of slow passes that ended

Cause: with a rank 12 times slower a pass lasts 650 ms, and the switch that took the experts from it was planned six passes ahead, by passes of 90 ms: four seconds. While orders stay unanswered it was twelve passes ahead however short they are; 72 ranks are then armed in several tries, and the group stood still for the rest of them.

Now the lead is a time: 160 ms beyond the age of the reports, 1.5 s while orders stay unanswered; a pass that lasts longer than measured counts at once; a hold that came too late is tried for the next pass of 300 ms later. Ranks are read each 300 ms while the last events were late. The samples of slow passes are dropped once three gaps are at most half of them: the slots stayed half closed for three seconds after the map was in force.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -62,6 +62,7 @@
 from nutmegslip_decisions.direct._options import Options
 from nutmegslip_decisions.direct._pace import (
     is_near_bound,
+    is_over_bound,
     open_share,
     pace_report,
 )
@@ -183,6 +184,7 @@
     "hedge_limit",
     "highest_fence",
     "is_near_bound",
+    "is_over_bound",
     "is_paused",
     "is_ready",
     "judge",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_pace.py
@@ -27,6 +27,7 @@
 SAMPLES = 12  # one each 250 ms; about as long as a stream, which meets its worst pass
 SAMPLE_QUANTILE = 0.8  # the two highest may be passes that were held
 MIN_SAMPLES = 3  # their median ignores one pass that was held
+ENDED_RATIO = 2.0  # of gaps; passes differ by less as long as nothing is slow
 LIFETIME_MS = 2_000  # of a measurement; a slower pass is taken for a stall
 MAX_REPORTS = 9  # whose median counts; bounds the cost with hundreds of entries
 NEAR_SHARE = 0.7  # of the bound; what a shift of popularity adds reaches it from there
@@ -44,7 +45,9 @@
     if known is not None and not _is_current(known, now_ms):
         known = None
     sample = GapSample(gap_ms, _in_flight(state, service, group))
-    samples = (*(known.samples if known else ()), sample)[-SAMPLES:]
+    samples = _without_ended_slowness(
+        (*(known.samples if known else ()), sample)[-SAMPLES:]
+    )
     slots = _slots(state, service, group)
     per_stream_ms = sorted(_per_stream_ms(state, service, s, slots) for s in samples)
     recent_ms = (s.gap_ms for s in samples[-MIN_SAMPLES:])
@@ -83,6 +86,15 @@
     return not bound_ms or pace is None or pace.gap_ms > NEAR_SHARE * bound_ms
 
 
+def is_over_bound(state: State, service: str, group: str, now_ms: Millis) -> bool:
+    """Return whether this entry's last event gaps of a group exceed their bound."""
+    bound_ms = gap_bound_ms(state, service)
+    pace = load_of(state, service).paces.get(group)
+    if not bound_ms or pace is None or not _is_current(pace, now_ms):
+        return False
+    return pace.samples[-1].gap_ms > bound_ms
+
+
 def pace_report(state: State, now_ms: Millis) -> PaceReports:
     """Return what this entry itself measures, by service and group."""
     return Map(
@@ -125,6 +137,14 @@
     return min(bounds, default=0)
 
 
+def _without_ended_slowness(samples: tuple[GapSample, ...]) -> tuple[GapSample, ...]:
+    """Drop the samples of slow passes once the last ones are much faster."""
+    recent = samples[-MIN_SAMPLES:]
+    limit_ms = ENDED_RATIO * max(sample.gap_ms for sample in recent)
+    slow = sum(sample.gap_ms > limit_ms for sample in samples)
+    return recent if slow >= MIN_SAMPLES else samples
+
+
 def _current_pace(
     state: State, service: str, group: str, now_ms: Millis
 ) -> PaceReport | None:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -1,5 +1,6 @@
 """Handle the outcomes of the orders of a phase."""
 
+import math
 from dataclasses import replace
 
 from immutables import Map
@@ -35,7 +36,8 @@
 
 PREPARE_RETRY_MS = 2_000  # before an accepted prepare is sent again
 MAX_MISSED_PASSES = 3  # whose hold is tried again for a later pass
-MISSED_LEAD_PASSES = 4
+MISSED_LEAD_MS = 300  # until the pass that is held instead
+MISSED_LEAD_PASSES = 4  # likewise, while the time of a pass is unknown
 SETTLE_MS = 1_000  # twice the lag of reports
 
 
@@ -94,9 +96,11 @@
 def _on_held(state: State, phase: Holding, done: bool, now_ms: Millis) -> Transition:
     is_own = phase.layout is not None
     if not done and is_own and phase.missed < MAX_MISSED_PASSES:
-        later = replace(
-            phase, step=phase.step + MISSED_LEAD_PASSES, missed=phase.missed + 1
-        )
+        lead = MISSED_LEAD_PASSES
+        if state.pass_ms:
+            lead = math.ceil(MISSED_LEAD_MS / state.pass_ms)
+            lead += MISSED_LEAD_PASSES * phase.missed  # passes are faster than measured
+        later = replace(phase, step=phase.step + lead, missed=phase.missed + 1)
         return enter_phase(state, later), ()
     if not done:
         # Another pass is held: wait for new reports.
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -59,12 +59,16 @@
 ORDER_RETRY_MS = 300  # ranks answer within some ms unless an order is lost
 CHANGE_REPORT_INTERVAL_MS = 250  # reports lag about as much
 IDLE_REPORT_INTERVAL_MS = 1_000  # also finds a pass that another process left held
+LATE_REPORT_INTERVAL_MS = 300  # finds the rank that has turned slow
 PREPARE_REPORT_INTERVAL_MS = 100  # only of the ranks that are not known as prepared
 FIRST_PREPARED_MS = 200  # from the order; copying and the lag of reports take longer
-MAX_SWITCH_LEAD_PASSES = 12  # also while the time of a pass is unknown
-MIN_SWITCH_LEAD_PASSES = 2  # the order to hold takes some ms
+SWITCH_LEAD_PASSES = 12  # while the time of a pass is unknown
+MAX_SWITCH_LEAD_PASSES = 40
+SWITCH_MARGIN_MS = 160  # the order to hold takes some ms, the lag of reports varies
+UNANSWERED_MARGIN_MS = 1_500  # arming all ranks then takes several tries
 PASS_SMOOTHING = 0.5  # weight of a new measurement
 PASS_WINDOW_MS = 500  # the lag of reports varies by some tens of ms
+MAX_PASS_MS = 1_500  # a group without a new pass for longer is idle
 PREPARE_TIMEOUT_MS = 6_000
 CHANGE_TIMEOUT_MS = 10_000  # includes a second for the switch and late orders
 CHANGE_INTERVAL_MS = 300  # between two changes
@@ -106,12 +110,14 @@
             # Continue at once, so that a held pass does not wait for the next tick.
             next_state, more = _advance_and_send(next_state, now_ms)
             return next_state, (*effects, *more)
-        case Tick(now_ms, is_leader, fence, silence_ms):
+        case Tick(now_ms, is_leader, fence, silence_ms, is_late):
             if is_leader and not state.is_leader:
                 # What a silent leader did before shows in the reports by now.
                 state = distrust_reports(state, now_ms - silence_ms)
             latest_fence = max(state.latest_fence, fence)
-            state = state._replace(is_leader=is_leader, latest_fence=latest_fence)
+            state = state._replace(
+                is_leader=is_leader, latest_fence=latest_fence, is_late=is_late
+            )
             return _on_tick(state, now_ms)
 
 
@@ -159,23 +165,28 @@
     seen_ms, step = state.pass_seen
     if now_ms < seen_ms + PASS_WINDOW_MS or report.step < step:
         return state
+    if report.step == step and now_ms < seen_ms + MAX_PASS_MS:
+        return state  # a slow pass, or none
     state = state._replace(pass_seen=(now_ms, report.step))
     if report.step == step:
         return state  # an idle group makes no passes
     measured_ms = (now_ms - seen_ms) / (report.step - step)
+    if measured_ms > state.pass_ms:
+        # A switch that is planned for too many slow passes comes seconds late.
+        return state._replace(pass_ms=measured_ms)
     change_ms = measured_ms - state.pass_ms
-    pass_ms = state.pass_ms + PASS_SMOOTHING * change_ms
-    return state._replace(pass_ms=pass_ms if state.pass_ms else measured_ms)
+    return state._replace(pass_ms=state.pass_ms + PASS_SMOOTHING * change_ms)
 
 
 def _reports_due_ms(state: State) -> Millis:
     """Return when reports are to be read again."""
     match state.phase:
         case Idle():
-            is_held = any(r.held is not None for _, r in state.reports.values())
-            interval_ms = (
-                CHANGE_REPORT_INTERVAL_MS if is_held else IDLE_REPORT_INTERVAL_MS
-            )
+            interval_ms = IDLE_REPORT_INTERVAL_MS
+            if state.is_late:
+                interval_ms = LATE_REPORT_INTERVAL_MS
+            if any(r.held is not None for _, r in state.reports.values()):
+                interval_ms = CHANGE_REPORT_INTERVAL_MS
             due_ms = state.reports_requested_ms + interval_ms
             if state.reports_requested_ms < state.trusted_from_ms:
                 return min(due_ms, state.trusted_from_ms)
@@ -203,14 +214,17 @@
 
 
 def _switch_step(state: State, now_ms: Millis) -> int:
-    """Return the first pass that has surely not begun when a hold of it arrives."""
+    """Return a pass that has probably not begun when a hold of it arrives.
+
+    A hold that comes too late is refused, and tried again for a later pass.
+    """
     reports = [state.reports[rank] for rank in state.group.ranks]
     read_ms, report = max(reports, key=lambda item: item[1].step)
-    lead = MAX_SWITCH_LEAD_PASSES
-    # While answers to orders are lost, arming all ranks takes several tries.
-    if state.pass_ms and not state.phase.unanswered:
-        age_ms = now_ms - read_ms + state.options.report_lag_ms
-        lead = math.ceil(age_ms / state.pass_ms) + MIN_SWITCH_LEAD_PASSES
+    if not state.pass_ms:
+        return report.step + SWITCH_LEAD_PASSES
+    margin_ms = UNANSWERED_MARGIN_MS if state.phase.unanswered else SWITCH_MARGIN_MS
+    age_ms = now_ms - read_ms + state.options.report_lag_ms
+    lead = math.ceil((age_ms + margin_ms) / state.pass_ms)
     return report.step + min(lead, MAX_SWITCH_LEAD_PASSES)
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -137,6 +137,7 @@
     latest_fence: int = 0
     fence_floor: int = 0
     is_leader: bool = False
+    is_late: bool = False
     reports_requested_ms: Millis = 0
     pass_ms: float = 0.0
     pass_seen: tuple[Millis, int] | None = None
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -155,13 +155,15 @@
 
     ``is_leader`` is whether this process starts changes. ``fence`` is the fencing
     number for changes that begin from now on; it never decreases. ``silence_ms`` is for
-    how long the leader before has been silent, 0 if it has resigned.
+    how long the leader before has been silent, 0 if it has resigned. ``is_late`` is
+    whether the event gaps of the group's streams exceed their bound.
     """
 
     now_ms: Millis
     is_leader: bool
     fence: int
     silence_ms: Millis = 0
+    is_late: bool = False
 
 
 Event = GroupUpdated | ReportReceived | LayoutRead | LoadsMeasured | OrderOutcome | Tick
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -20,6 +20,7 @@
     counts_interval_ms,
     highest_fence,
     is_near_bound,
+    is_over_bound,
     is_paused,
     leader_silence_ms,
     next_loads,
@@ -151,7 +152,9 @@
                     )
                     self._rollouts[name] = rollout.State(options)
                 self._dispatch(name, GroupUpdated(now_ms, group))
-                self._dispatch(name, Tick(now_ms, is_leader, fence, silence_ms))
+                is_late = self._is_late(name, now_ms)
+                tick = Tick(now_ms, is_leader, fence, silence_ms, is_late)
+                self._dispatch(name, tick)
                 if not is_leader or group is None:
                     continue
                 if not self._is_settled(group, now_ms):
@@ -189,6 +192,13 @@
         order = max(self._position().order, used)
         return order * rollout.IDENTITY_COUNT + self._identity
 
+    def _is_late(self, name: str, now_ms: int) -> bool:
+        """Return whether the event gaps of a group's streams exceed their bound."""
+        if name not in self._members:
+            return False
+        rank, *_ = self._members[name].values()
+        return is_over_bound(self._machine.state, rank.service, name, now_ms)
+
     def _is_sample_due(self, name: str, layout: ExpertLayout, now_ms: int) -> bool:
         """Return whether counts are to be read now; then they are taken for read."""
         if name not in self._members:
--- a/tests/test_direct_expert_maps.py
+++ b/tests/test_direct_expert_maps.py
@@ -33,6 +33,7 @@
     Prepare,
     Preparing,
     RankReport,
+    ReadReports,
     ReportReceived,
     SendOrder,
     Tick,
@@ -210,7 +211,37 @@
         """Else the pass is held for as long as the ranks are armed in several tries."""
         self.outcome(Prepare(self.state.phase.version, LAYOUT), Outcome.UNKNOWN)
         ahead = self.hold().step - self.step(self.now_ms)
-        self.assertGreaterEqual(ahead * PASS_MS, 600)
+        self.assertGreaterEqual(ahead * PASS_MS, 1_000)
+
+    def test_while_passes_are_slow_the_switch_is_few_of_them_ahead(self):
+        """Six passes ahead, as for fast ones, were four seconds with a slow rank."""
+        slow_ms, begun_ms = 650, self.now_ms
+        first = self.step(begun_ms - REPORT_LAG_MS)
+        for _ in range(7):
+            self.now_ms += 100
+            for rank in GROUP.ranks:
+                step = first + (self.now_ms - begun_ms) // slow_ms
+                report = RankReport(1, step, 0, None, None, None)
+                self.take(ReportReceived(self.now_ms, rank, report))
+        version = self.state.phase.version
+        for rank in GROUP.ranks:
+            report = RankReport(1, first + 1, 0, version, None, None)
+            self.take(ReportReceived(self.now_ms, rank, report))
+        (hold,) = self.take(Tick(self.now_ms, True, 1 << 20))
+        self.assertLessEqual(hold.step - first - 1, 2)
+        (later,) = self.outcome(hold, Outcome.REFUSED)
+        self.assertEqual(later.step, hold.step + 1)
+
+    def test_ranks_are_read_sooner_while_events_are_late(self):
+        self.state = self.state._replace(phase=Idle(0))
+        for is_late, reads in ((False, 0), (True, 1)):
+            with self.subTest(is_late=is_late):
+                self.wait(1_000)
+                self.now_ms += 400
+                tick = Tick(self.now_ms, True, 1 << 20, is_late=is_late)
+                _, effects = reduce(self.state, tick)
+                found = [e for e in effects if isinstance(e, ReadReports)]
+                self.assertEqual(len(found), reads)
 
     def test_a_hold_that_came_too_late_is_tried_for_a_later_pass(self):
         first = self.hold()
--- a/tests/test_direct_slow_ranks.py
+++ b/tests/test_direct_slow_ranks.py
@@ -23,6 +23,7 @@
     Send,
     StorePosition,
     Tick,
+    is_over_bound,
     open_share,
     should_move,
     slowness_report,
@@ -222,6 +223,36 @@
         self.assertFalse(refused)  # it waits for a slot
 
 
+class EndedSlownessTests(unittest.TestCase):
+    """Half of the slots stayed closed for three seconds after the rank was fast."""
+
+    def test_slots_open_soon_after_slow_passes_end(self):
+        world = GroupWorld()
+        world.send(RANKS * 4)
+        for gap_ms in (650.0,) * 8 + (60.0,) * 3:
+            world.now_ms += 250
+            world.take(PaceMeasured(world.now_ms, "model", GROUP, gap_ms))
+        share = open_share(world.state, "model", GROUP, world.now_ms)
+        self.assertEqual(share, 1.0)
+
+    def test_two_held_passes_do_not_count_as_slowness_that_ended(self):
+        world = GroupWorld()
+        world.send(RANKS * 4)
+        for gap_ms in (100.0, 650.0, 100.0, 650.0, 60.0, 60.0, 60.0):
+            world.now_ms += 250
+            world.take(PaceMeasured(world.now_ms, "model", GROUP, gap_ms))
+        pace = world.state.loads["model"].paces[GROUP]
+        self.assertEqual(len(pace.samples), 7)
+
+    def test_ranks_are_read_at_once_after_one_late_pass(self):
+        world = GroupWorld()
+        for gap_ms, late in ((60.0, False), (650.0, True), (60.0, False)):
+            world.now_ms += 250
+            world.take(PaceMeasured(world.now_ms, "model", GROUP, gap_ms))
+            over = is_over_bound(world.state, "model", GROUP, world.now_ms)
+            self.assertEqual(over, late)
+
+
 class ReplanTests(unittest.TestCase):
     """Known loads are planned for at once; the next counts come seconds later."""
 
