Arm as far ahead as orders take now, and repeat an unanswered order sooner

Ranks answer within some ms, yet an order without an answer was sent again only after 300 ms, and 72 ranks need several such rounds. Now it is sent again after 150 ms, and the switch lies as far ahead as one and a half times what the last accepted order to prepare took; a flag that one order went unanswered is gone.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -46,8 +46,6 @@
     group, phase, rank = state.group, state.phase, event.rank
     if group is None or event.epoch != group.epoch or rank not in group.ranks:
         return state, ()
-    if event.outcome is Outcome.UNKNOWN and isinstance(phase, Preparing):
-        return update_phase(state, replace(phase, unanswered=True)), ()
     if event.outcome is Outcome.UNKNOWN or isinstance(phase, Idle):
         return state, ()
     if event.outcome is Outcome.FENCED:
@@ -58,6 +56,8 @@
         state = state._replace(
             last_sent_ms=state.last_sent_ms.set(rank, event.now_ms + PREPARE_RETRY_MS)
         )
+        orders_ms = event.now_ms - phase.since_ms
+        state = update_phase(state, replace(phase, orders_ms=orders_ms))
     match phase, event.order:
         case Preparing(version), Prepare(ordered) if ordered == version and not done:
             return abandon(state, version, "prepare refused", event.now_ms)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -56,7 +56,7 @@
 )
 from nutmegslip_decisions.model import Millis
 
-ORDER_RETRY_MS = 300  # ranks answer within some ms unless an order is lost
+ORDER_RETRY_MS = 150  # ranks answer within some ms unless an order is lost
 CHANGE_REPORT_INTERVAL_MS = 250  # reports lag about as much
 IDLE_REPORT_INTERVAL_MS = 1_000  # also finds a pass that another process left held
 LATE_REPORT_INTERVAL_MS = 300  # finds the rank that has turned slow
@@ -65,7 +65,7 @@
 SWITCH_LEAD_PASSES = 12  # while the time of a pass is unknown
 MAX_SWITCH_LEAD_PASSES = 40
 SWITCH_MARGIN_MS = 160  # the order to hold takes some ms, the lag of reports varies
-UNANSWERED_MARGIN_MS = 1_500  # arming all ranks then takes several tries
+ORDERS_MARGIN_RATIO = 1.5  # of the time that the last orders took at all ranks
 PASS_SMOOTHING = 0.5  # weight of a new measurement
 PASS_WINDOW_MS = 500  # the lag of reports varies by some tens of ms
 MAX_PASS_MS = 1_500  # a group without a new pass for longer is idle
@@ -222,7 +222,8 @@
     read_ms, report = max(reports, key=lambda item: item[1].step)
     if not state.pass_ms:
         return report.step + SWITCH_LEAD_PASSES
-    margin_ms = UNANSWERED_MARGIN_MS if state.phase.unanswered else SWITCH_MARGIN_MS
+    # Arming all ranks takes about as long as ordering them to prepare did.
+    margin_ms = max(ORDERS_MARGIN_RATIO * state.phase.orders_ms, SWITCH_MARGIN_MS)
     age_ms = now_ms - read_ms + state.options.report_lag_ms
     lead = math.ceil((age_ms + margin_ms) / state.pass_ms)
     return report.step + min(lead, MAX_SWITCH_LEAD_PASSES)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -37,14 +37,14 @@
 class Preparing:
     """Ranks copy the experts that are new to them.
 
-    ``unanswered`` is whether an order of this change got no answer.
+    ``orders_ms`` is how long it took until the last rank so far accepted its order.
     """
 
     version: int
     layout: Layout
     gain: float
     since_ms: Millis
-    unanswered: bool = False
+    orders_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
