Continue a change that is fenced with a higher fence, once in five seconds

A change in its first phase has nothing held or armed, so a leader that is refused now raises its fence and sends the order again at once. A second refusal within five seconds shows a rival, and the change is abandoned as before, with a pause; so it is by an entry that no longer leads. The outcome of an order names its fence, so that the refusals of the other ranks to the first order do not count for the second one. Known loads are planned again as soon as an abandoned change permits.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -39,6 +39,7 @@
 MISSED_LEAD_MS = 300  # until the pass that is held instead
 MISSED_LEAD_PASSES = 4  # likewise, while the time of a pass is unknown
 SETTLE_MS = 1_000  # twice the lag of reports
+RIVAL_MS = 5_000  # longer than two processes take for each other's leader
 
 
 def on_outcome(state: State, event: OrderOutcome) -> Transition:
@@ -49,7 +50,7 @@
     if event.outcome is Outcome.UNKNOWN or isinstance(phase, Idle):
         return state, ()
     if event.outcome is Outcome.FENCED:
-        return _on_fenced(state, phase.version, event.now_ms)
+        return _on_fenced(state, event)
     done = event.outcome is Outcome.DONE
     if done and isinstance(phase, Preparing):
         # Copying takes time; the reports show when it is complete.
@@ -82,13 +83,22 @@
     return state, ()
 
 
-def _on_fenced(state: State, version: int, now_ms: Millis) -> Transition:
-    """Abandon the change, and use a higher fence next time.
+def _on_fenced(state: State, event: OrderOutcome) -> Transition:
+    """Continue with a higher fence, or abandon the change and use it next time.
 
-    Otherwise a suspended process with a higher fence would block all changes.
+    Otherwise a suspended process with a higher fence would block all changes. After all
+    processes have lost their memory, only the ranks know the last fence. A leader that
+    is refused again soon has a rival, and waits to see which of them leads.
     """
-    state, effects = abandon(state, version, "another process leads", now_ms)
+    phase, now_ms = state.phase, event.now_ms
+    if event.fence != state.fence:
+        return state, ()  # the order was sent before the fence was raised
     floor = state.fence + FENCE_MARGIN_REVISIONS * IDENTITY_COUNT
+    is_rare = state.raised_ms is None or now_ms >= state.raised_ms + RIVAL_MS
+    if isinstance(phase, Preparing) and state.is_leader and is_rare:
+        state = state._replace(fence=floor, fence_floor=floor, raised_ms=now_ms)
+        return enter_phase(state, replace(phase)), ()
+    state, effects = abandon(state, phase.version, "another process leads", now_ms)
     idle = Idle(now_ms + SETTLE_MS)
     return state._replace(phase=idle, fence_floor=floor), effects
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_reduce.py
@@ -87,6 +87,7 @@
                     last_version=state.last_version,
                     latest_fence=state.latest_fence,
                     fence_floor=state.fence_floor,
+                    raised_ms=state.raised_ms,
                     is_leader=state.is_leader,
                 )
             return state, ()
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_state.py
@@ -119,7 +119,8 @@
     to a later time while a rank copies, to delay the retry. ``fence`` is the fencing
     number of the change: a process that begins later has a higher one, and a rank
     refuses orders with a lower one than it has seen. ``fence_floor`` is above the last
-    fence that was refused. ``pass_ms`` is the mean time of a pass, 0 if unknown;
+    fence that was refused; ``raised_ms`` is when a change last went on with a raised
+    fence, None for never. ``pass_ms`` is the mean time of a pass, 0 if unknown;
     ``pass_seen`` is when it was last measured, and the pass at that time.
     Reports that were read before ``trusted_from_ms`` may show what an earlier leader,
     or this process, has changed since.
@@ -136,6 +137,7 @@
     fence: int = 0
     latest_fence: int = 0
     fence_floor: int = 0
+    raised_ms: Millis | None = None
     is_leader: bool = False
     is_late: bool = False
     reports_requested_ms: Millis = 0
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_types.py
@@ -140,13 +140,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderOutcome:
-    """The outcome of an order that was sent in an epoch."""
+    """The outcome of an order that was sent in an epoch, with a fence."""
 
     now_ms: Millis
     rank: str
     epoch: int
     order: Order
     outcome: Outcome
+    fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -288,6 +288,7 @@
                     gain=round(gain, 3),
                 )
             case ChangeAbandoned(version, reason):
+                self._planned_for.pop(name, None)
                 self._log.emit(
                     "group-map-abandoned", group=name, version=version, reason=reason
                 )
@@ -304,7 +305,15 @@
         )
         now_ms = self._machine.clock()
         self._dispatch(
-            name, OrderOutcome(now_ms, effect.rank, effect.epoch, effect.order, outcome)
+            name,
+            OrderOutcome(
+                now_ms,
+                effect.rank,
+                effect.epoch,
+                effect.order,
+                outcome,
+                effect.fence,
+            ),
         )
 
     def _read_report(self, name: str, rank: Upstream) -> None:
--- a/tests/test_direct_expert_maps.py
+++ b/tests/test_direct_expert_maps.py
@@ -183,7 +183,8 @@
         return [*orders, *self.take(Tick(self.now_ms, True, 1 << 20))]
 
     def outcome(self, order, outcome, rank="r0"):
-        return self.take(OrderOutcome(self.now_ms, rank, 1, order, outcome))
+        fence = self.state.fence
+        return self.take(OrderOutcome(self.now_ms, rank, 1, order, outcome, fence))
 
     def hold(self):
         (hold,) = self.wait(300, prepared=self.state.phase.version)
@@ -216,6 +217,30 @@
         ahead = self.hold().step - self.step(self.now_ms)
         self.assertGreaterEqual(ahead * PASS_MS, 700)
 
+    def test_a_change_that_is_fenced_goes_on_with_a_higher_fence_once(self):
+        """After all entries lost power only the ranks knew the last fence.
+
+        Each first change was abandoned, and popularity shifted before the next one.
+        """
+        order = Prepare(self.state.phase.version, LAYOUT)
+        refused = self.state.fence
+        self.now_ms += 10
+        orders = self.outcome(order, Outcome.FENCED)
+        self.assertEqual([type(o) for o in orders], [Prepare, Prepare])
+        self.assertGreater(self.state.fence, refused)
+        late = OrderOutcome(self.now_ms, "r1", 1, order, Outcome.FENCED, refused)
+        self.assertEqual(self.take(late), [])
+        self.assertIsInstance(self.state.phase, Preparing)
+        self.outcome(order, Outcome.FENCED)  # a rival has raised its own
+        self.assertIsInstance(self.state.phase, Idle)
+        self.assertGreater(self.state.phase.until_ms, self.now_ms)
+
+    def test_an_entry_that_does_not_lead_abandons_a_fenced_change(self):
+        """A process that was frozen in a change finds that another one leads."""
+        self.take(Tick(self.now_ms, False, 1 << 20))
+        self.outcome(Prepare(self.state.phase.version, LAYOUT), Outcome.FENCED)
+        self.assertIsInstance(self.state.phase, Idle)
+
     def test_an_order_without_an_answer_is_soon_sent_again(self):
         """One of 72 ranks that leaves an order unanswered holds up the whole change."""
         orders = self.wait(200)
--- a/tests/test_experts_rollout.py
+++ b/tests/test_experts_rollout.py
@@ -125,7 +125,9 @@
             self.late.append((self.now_ms + delay_ms, order))
         elif drawn < self.fault_rate * 0.8:
             self.ranks.execute(*order)  # only the response is lost
-        event = OrderOutcome(self.now_ms, sent.rank, sent.epoch, sent.order, outcome)
+        event = OrderOutcome(
+            self.now_ms, sent.rank, sent.epoch, sent.order, outcome, sent.fence
+        )
         process.backlog.append(event)
 
     def _read_reports(self, process):
