Close a whole group at the first sign of a lost rank, and let requests wait for it

- A rank at whose address nothing listens or another upstream answers, or that publishes its group as broken, closes the group of its epoch for all; one that had only timed out does not.
- Requests wait for a group that forms again, for four times their objective at the longest, after which callers leave; then they are refused as before, with a time to come back that is after the wait.
- The group of the latest epoch is complete without the dead ranks of the one before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_dispatch.py
@@ -17,6 +17,10 @@
     Refuse,
     Send,
 )
+from nutmegslip_decisions.direct._group_waits import (
+    group_wait_end_ms,
+    may_take_late,
+)
 from nutmegslip_decisions.direct._hedges import (
     Withheld,
     attempt_at,
@@ -60,6 +64,11 @@
             return send(state, request, upstream.id, now_ms)
     wait_ms = predicted_wait_ms(state, request, capacity, now_ms)
     if wait_ms is None:
+        end_ms = group_wait_end_ms(state, request, now_ms)
+        if end_ms is not None:
+            waiting = request._replace(group_wait_end_ms=end_ms)
+            requests = state.requests.set(request.ticket, waiting)
+            return enqueue(state._replace(requests=requests), waiting), ()
         limited = capacity.is_limited
         kind = RefusalKind.OVERLOADED if limited else RefusalKind.NO_UPSTREAM
         return refuse(state, request, kind, now_ms)
@@ -83,6 +92,7 @@
         sends=request.sends + 1,
         send_by_ms=send_by_ms(state, upstream),
         hedge_ms=hedge_due_ms(state, request, now_ms),
+        group_wait_end_ms=None,
     )
     state = _with_attempt_counted(state, request, upstream, now_ms)
     state = state._replace(requests=state.requests.set(request.ticket, sent))
@@ -131,6 +141,9 @@
     state: State, request: Request, capacity: Capacity, now_ms: Millis
 ) -> bool:
     """Return whether a queued request may take one of the free slots."""
+    awaited = request.group_wait_end_ms is not None
+    if awaited and latest_send_ms(state, request) <= now_ms:
+        return may_take_late(state, request.service, capacity)
     if has_room(state, request, capacity, now_ms):
         return True
     return is_due(state, request, capacity, now_ms)
@@ -220,6 +233,9 @@
         return RefusalKind.DEADLINE
     if part_gate(state, request, now_ms) is Gate.CLOSED:
         return _crashing_kind(state, request)
+    if request.group_wait_end_ms is not None:
+        over = request.group_wait_end_ms <= now_ms
+        return RefusalKind.NO_UPSTREAM if over else None
     # While every upstream is paused, no slot can become free before a pause ends.
     free_ms = capacity.resume_ms if capacity.is_paused else now_ms
     if latest_send_ms(state, request) <= free_ms and not request.streaming:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -186,9 +186,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request reached the upstream; ``detail`` is the reason."""
+    """No byte of the request reached the upstream; ``detail`` is the reason.
+
+    ``refused`` is whether nothing listens at its address.
+    """
 
     detail: str = ""
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_groups.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_groups.py
@@ -1,8 +1,9 @@
 """Suspect a group of ranks as soon as one of its ranks is at fault.
 
 Answers the load pattern in which a rank dies and the published list lags by seconds:
-all ranks stall, and so does every request sent meanwhile. Requests are refused at
-once instead, with a retry delay after which the group has likely formed again.
+all ranks stall, and so does every request sent meanwhile. A rank at whose address
+nothing listens, or that publishes its group as broken, speaks for all ranks, also for
+those whose entries are not removed yet. Nothing is sent to the group for a while.
 """
 
 from nutmegslip_decisions.direct._state import GroupSuspicion, State
@@ -13,9 +14,15 @@
 
 
 def with_suspicion(state: State, upstream: Upstream, now_ms: Millis) -> State:
-    """Close the group of an upstream for the shortest time to form it again."""
+    """Close the group of an upstream for the shortest time to form it again.
+
+    What concerns an earlier epoch says nothing of the group as it is now.
+    """
     if upstream.rank is None:
         return state
+    known = state.suspicions.get(upstream.rank.group)
+    if known is not None and known.epoch > upstream.rank.epoch:
+        return state
     suspicion = GroupSuspicion(
         epoch=upstream.rank.epoch,
         closed_until_ms=now_ms + MIN_FORM_MS,
@@ -32,6 +39,11 @@
     return state._replace(suspicions=state.suspicions.delete(upstream.rank.group))
 
 
+def is_open(upstream: Upstream) -> bool:
+    """Return whether the group of an upstream is published as open."""
+    return upstream.rank is not None and upstream.rank.is_open
+
+
 def is_usable(state: State, upstream: Upstream, now_ms: Millis) -> bool:
     """Return whether the group of an upstream may receive a request."""
     rank = upstream.rank
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_published.py
@@ -10,6 +10,7 @@
     with_announcement,
     with_removal,
 )
+from nutmegslip_decisions.direct._groups import is_open, with_suspicion
 from nutmegslip_decisions.direct._restored import (
     is_superseded,
     with_copy_listed,
@@ -50,6 +51,8 @@
             failures=0, avoid_until_ms=0, paused_until_ms=0, credit=0.0, idle_until=()
         )
         upstream_stats = upstream_stats.set(old.id, fresh)
+    if upstream.rank and not upstream.rank.is_open and old and is_open(old):
+        state = with_suspicion(state, upstream, now_ms)
     departures = state.departures
     if upstream.id in departures:
         departures = departures.delete(upstream.id)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -128,7 +128,11 @@
     begun = begun._replace(hedge_ms=None, hedge=None)
     other = other_attempt(request, event.upstream)
     if other is None:
-        return _with_begun(state, begun, now_ms), ()
+        trusted = _with_begun(state, begun, now_ms)
+        if trusted.suspicions is state.suspicions:
+            return trusted, ()
+        # Others have waited for this answer of a probe.
+        return dispatch(trusted, begun.service, now_ms)
     state = _with_slot_released(state, request, other.upstream)
     if other.upstream == request.upstream:
         # A silent upstream would look like the least loaded one.
@@ -173,6 +177,8 @@
     crashed = isinstance(failure, Broken) and failure.closed and not request.begun
     if crashed:
         state = with_crashed_attempt(state, request, now_ms)
+    if _shows_rank_gone(failure):
+        state = _with_group_suspicion(state, request.upstream, now_ms)
     if isinstance(failure, NotSent):
         state = with_upstream_gone(state, request.upstream, now_ms)
     sent = not _is_unsent(failure)
@@ -222,6 +228,15 @@
     return state if upstream is None else with_suspicion(state, upstream, now_ms)
 
 
+def _shows_rank_gone(failure: Failure) -> bool:
+    """Return whether the upstream that was chosen is no longer at its address."""
+    match failure:
+        case NotSent(refused=True) | Declined(misdirected=True):
+            return True
+        case _:
+            return False
+
+
 def _is_unsent(failure: object) -> bool:
     match failure:
         case NotSent() | Declined(misdirected=True):
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_types.py
@@ -279,9 +279,10 @@
     answer of this attempt has begun; ``met_crash`` is whether an upstream crashed
     before it did. ``fingerprint`` is the same for a request that a caller sends again,
     at whichever entry. ``send_by_ms`` is the latest time to send the request to its
-    upstream, None without a limit but its deadline.
-    at whichever entry. ``hedge_ms`` is when a second attempt is due, None for never;
-    ``hedge`` is that attempt while both are in flight.
+    upstream, None without a limit but its deadline. ``hedge_ms`` is when a second
+    attempt is due, None for never; ``hedge`` is that attempt while both are in flight.
+    ``group_wait_end_ms`` is until when it waits for a group of ranks to form again,
+    None if it does not.
     """
 
     ticket: int
@@ -306,6 +307,7 @@
     send_by_ms: Millis | None = None
     hedge_ms: Millis | None = None
     hedge: Attempt | None = None
+    group_wait_end_ms: Millis | None = None
 
     @property
     def subjects(self) -> tuple[str, ...]:
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_urgency.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_urgency.py
@@ -37,15 +37,20 @@
     """The place of a request in its queue; the lowest is sent first."""
 
     is_far_over: bool
+    awaited_group: bool
     priority: int
     is_over: bool
     arrived_ms: Millis
 
 
 def turn_of(state: State, request: Request) -> Turn:
-    """Return the place of a request: by urgency, but accounts far over share last."""
+    """Return the place of a request: by urgency, but accounts far over share last.
+
+    Those that waited for a group come after all that have not, as most are late.
+    """
     return Turn(
         is_over_share(state, request, FAR_OVER),
+        request.group_wait_end_ms is not None,
         request.priority,
         is_over_share(state, request),
         request.arrived_ms,
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -45,6 +45,7 @@
     ClientConnection,
     ConnectionBroken,
     ConnectionClosed,
+    ConnectionRefused,
     Header,
     HttpRequest,
     NotConnected,
@@ -196,7 +197,7 @@
         try:
             connection = self._pool.acquire(upstream, request.deadline_ms, fresh=fresh)
         except NotConnected as error:
-            return NotSent(str(error))
+            return _not_sent(error)
         answer_read = False
         try:
             if not self._send_request(connection, request, upstream):
@@ -286,7 +287,7 @@
         try:
             connection = self._pool.acquire(upstream, request.deadline_ms, fresh=False)
         except NotConnected as error:
-            return FailedAttempt(NotSent(str(error)))
+            return FailedAttempt(_not_sent(error))
         result: AttemptResult | None = None
         body_begun = False
         try:
@@ -435,6 +436,10 @@
         self._caller.forward(complete.answer, complete.body, head_only)
 
 
+def _not_sent(error: NotConnected) -> NotSent:
+    return NotSent(str(error), refused=isinstance(error, ConnectionRefused))
+
+
 def _is_stream(answer: ResponseHead) -> bool:
     content_type = answer.header(b"content-type") or b""
     return answer.status in SUCCESS_STATUSES and content_type.startswith(
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -399,12 +399,17 @@
 
 
 def _complete_group(name: str, members: list[Upstream]) -> Group | None:
-    ranks = sorted(members, key=lambda upstream: upstream.rank.rank)
-    epochs = {upstream.rank.epoch for upstream in ranks}
+    """Return the group of the latest epoch, None while a rank is missing or broken.
+
+    Ranks that failed are listed for seconds after the group has formed without them.
+    """
+    epoch = max(upstream.rank.epoch for upstream in members)
+    ranks = sorted(
+        (upstream for upstream in members if upstream.rank.epoch == epoch),
+        key=lambda upstream: upstream.rank.rank,
+    )
     numbers = [upstream.rank.rank for upstream in ranks]
-    complete = (
-        len(epochs) == 1
-        and all(upstream.rank.is_open for upstream in ranks)
-        and numbers == list(range(ranks[0].rank.size))
+    complete = all(upstream.rank.is_open for upstream in ranks) and numbers == list(
+        range(ranks[0].rank.size)
     )
-    return Group(name, epochs.pop(), tuple(u.id for u in ranks)) if complete else None
+    return Group(name, epoch, tuple(u.id for u in ranks)) if complete else None
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -26,6 +26,10 @@
     """No connection could be opened, so nothing was sent; try another server."""
 
 
+class ConnectionRefused(NotConnected):
+    """Nothing listens at the address: the process there has ended, or begins."""
+
+
 class ConnectionBroken(Exception):  # noqa: N818
     """The connection ended or sent invalid HTTP; the request may have run."""
 
@@ -86,6 +90,8 @@
         """Open a connection; raise NotConnected if that fails or times out."""
         try:
             sock = gevent.socket.create_connection((host, port), timeout_s)
+        except ConnectionRefusedError as error:
+            raise ConnectionRefused(f"{host}:{port}: {error}") from error
         except OSError as error:
             raise NotConnected(f"{host}:{port}: {error}") from error
         configure_socket(sock)
