Test that a plan of expert maps heeds the slowness that ranks report

The edit that switches this off left every test green: the planner was tested with a slowness, and the reports that carry it were not tested with the planner.

--- a/tests/test_direct_expert_maps.py
+++ b/tests/test_direct_expert_maps.py
@@ -144,6 +144,16 @@
                 state, _ = reduce(idle, LoadsMeasured(self.now_ms, LOADS, plan))
                 self.assertEqual(state.phase.layout, begun.phase.layout)
 
+    def test_a_plan_takes_experts_from_a_rank_that_reports_to_be_slow(self):
+        idle = self.state._replace(phase=Idle(0))
+        at_ms, report = idle.reports["r0"]
+        slow = idle.reports.set("r0", (at_ms, report._replace(slowness=12.0)))
+        even = ((25.0, 25.0, 25.0, 25.0),)
+        (plan,) = plan_layers(idle, even)
+        self.assertEqual(plan.slots, LAYOUT[0])
+        (plan,) = plan_layers(idle._replace(reports=slow), even)
+        self.assertLess(len(plan.slots[0]), 2)
+
     def test_streams_are_passed_on_between_the_layers_of_a_plan(self):
         """Guard against a plan that holds up the events of streams for its length."""
         machine = SimpleNamespace(clock=lambda: self.now_ms)
