--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_slow_ranks.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_slow_ranks.py
@@ -16,7 +16,7 @@
 from nutmegslip_decisions.direct._types import Upstream
 from nutmegslip_decisions.model import Millis
 
-SLOW_FACTOR = 1.3  # of the usual time; a rank with few streams hides less
+SLOW_FACTOR = 1.3  # of the usual time; loads of ranks differ by less
 LIFETIME_MS = 2_500  # of a report; two of them may be lost
 MAX_AVOIDED_SHARE = 0.34  # of a group's ranks; more cannot be spared
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/experts/rollout/_outcomes.py
@@ -39,7 +39,7 @@
 MISSED_LEAD_MS = 300  # until the pass that is held instead
 MISSED_LEAD_PASSES = 4  # likewise, while the time of a pass is unknown
 SETTLE_MS = 1_000  # twice the lag of reports
-RIVAL_MS = 5_000  # longer than two processes take for each other's leader
+RIVAL_MS = 5_000  # two processes that both lead hear of each other sooner
 
 
 def on_outcome(state: State, event: OrderOutcome) -> Transition:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -87,6 +87,11 @@
             ["service"],
             registry=self.registry,
         )
+        self._slow_ranks = Gauge(
+            "nutmegslip_slow_ranks",
+            "Ranks that report to be slow; they get no new streams while others can.",
+            registry=self.registry,
+        )
         self._blamed_parts = Gauge(
             "nutmegslip_blamed_parts",
             "Prompt parts that crash upstreams; requests with them are refused.",
@@ -114,6 +119,7 @@
         self._store_calls.set(store_calls)
         self._version.set(configuration.version if configuration else 0)
         self._blamed_parts.set(len(state.parts.blames))
+        self._slow_ranks.set(len(state.slow_ranks))
         limits = state.named_limits.values()
         self._limited_upstreams.set(sum(limit.per_s is not None for limit in limits))
         for service in state.loads:
