--- a/tests/test_direct_log_lines.py
+++ b/tests/test_direct_log_lines.py
@@ -23,6 +23,7 @@
     RequestEnded,
     ResponseStarted,
     StoreLost,
+    Tick,
     UpstreamPublished,
 )
 from nutmegslip_entry.direct import Metrics, Pool, StateMachine, log_lines
@@ -80,6 +81,9 @@
         self.assertIn(("group-doubted", ""), self._lines(failed))
         world.now_ms += 600
         self._arrive(2, "/verses/1")
+        # The first one waits for a rank that it has not tried.
+        probed = self._lines(Tick(world.now_ms))
+        self.assertEqual(probed, [("request-sent", "r2")])
         begun = self._lines(ResponseStarted(world.now_ms, 2))
         self.assertEqual(begun, [("group-trusted", "")])
 
