Read no rank again while a read of it is pending

The entry that changes maps ended at its memory limit of 300 MB; the others used 33 MB.

The test begins three reads of a rank that does not answer: three calls before, one now, and the next one after the answer.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_expert_maps.py
@@ -123,6 +123,7 @@
         self._counts: dict[str, ExpertCounts] = {}
         self._loads: dict[str, Loads] = {}
         self._planned_for: dict[str, GroupCondition] = {}
+        self._reading: set[str] = set()
 
     @property
     def standing(self) -> Standing:
@@ -275,8 +276,11 @@
             case SendOrder(rank):
                 gevent.spawn(self._send_order, name, self._members[name][rank], effect)
             case ReadReports(ranks):
+                # A busy process would otherwise begin reads faster than it ends them.
                 for rank in ranks:
-                    gevent.spawn(self._read_report, name, self._members[name][rank])
+                    if rank not in self._reading:
+                        self._reading.add(rank)
+                        gevent.spawn(self._read_report, name, self._members[name][rank])
             case ReadLayout(group):
                 gevent.spawn(self._read_layout, name, self._ranks_of(group))
             case ChangeCompleted(version, took_ms, gain):
@@ -317,6 +321,12 @@
         )
 
     def _read_report(self, name: str, rank: Upstream) -> None:
+        try:
+            self._take_report(name, rank)
+        finally:
+            self._reading.discard(rank.id)
+
+    def _take_report(self, name: str, rank: Upstream) -> None:
         if is_paused(self._machine.state, rank.id, self._machine.clock()):
             return  # the change waits for a fresh report
         report = self._rank_client.report(rank)
--- a/tests/test_direct_slow_ranks.py
+++ b/tests/test_direct_slow_ranks.py
@@ -8,6 +8,8 @@
 from types import SimpleNamespace
 
 import cbor2
+import gevent
+import gevent.event
 from immutables import Map
 
 from nutmegslip_decisions.direct import (
@@ -30,7 +32,7 @@
 )
 from nutmegslip_decisions.direct._slow_ranks import LIFETIME_MS
 from nutmegslip_decisions.experts import rollout
-from nutmegslip_decisions.experts.rollout import RankReport
+from nutmegslip_decisions.experts.rollout import RankReport, ReadReports
 from nutmegslip_entry.direct._expert_maps import ExpertMapManager
 from nutmegslip_entry.direct._reports import (
     Report,
@@ -253,6 +255,37 @@
             self.assertEqual(over, late)
 
 
+class ReadTests(unittest.TestCase):
+    """A leader of 250 groups began reads faster than it ended them, until it died."""
+
+    def test_a_rank_is_not_read_again_while_a_read_is_pending(self):
+        calls, answered = [], gevent.event.Event()
+
+        def report(rank):
+            calls.append(rank.id)
+            answered.wait()
+
+        machine = SimpleNamespace(clock=lambda: 0, state=GroupWorld().state)
+        manager = ExpertMapManager(
+            machine,
+            SimpleNamespace(report=report),
+            lambda: False,
+            1,
+            StorePosition,
+            SimpleNamespace(),
+        )
+        manager._members[GROUP] = {"m1": machine.state.upstreams["m1"]}
+        for _ in range(3):
+            manager._perform(GROUP, ReadReports(("m1",)))
+            gevent.sleep(0)
+        self.assertEqual(calls, ["m1"])
+        answered.set()
+        gevent.sleep(0)
+        manager._perform(GROUP, ReadReports(("m1",)))
+        gevent.sleep(0)
+        self.assertEqual(calls, ["m1", "m1"])
+
+
 class ReplanTests(unittest.TestCase):
     """Known loads are planned for at once; the next counts come seconds later."""
 
