--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,9 +1,8 @@
-"""The process that collects an entry's log stops reading for a while."""
+"""A request crashes each server that runs it, once part of its answer was sent."""
 
 import asyncio
 import os
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -14,6 +13,7 @@
     Case,
     Client,
     Entry,
+    Message,
     Server,
     Store,
     configuration,
@@ -22,64 +22,75 @@
     run,
 )
 
-TIMEOUT_MS = 800  # of the route
-SLACK_S = 0.5  # the rule: no answer half a second after the timeout
-BEFORE_S = 4.0
-STOPPED_S = 30.0
-AFTER_S = 4.0
-RATE = 40  # requests a second
-COLLECTOR = "import sys\nfor line in sys.stdin.buffer:\n    pass\n"
+STABILITY_S = 3.0  # stabilityWindowMs
+MAX_RETRIES = 3  # the rule
+DOWN_S = 2.0  # "the runner is back after some seconds"
+LENGTH_S = 40.0
+PATH = "/look/deadly"
+EARLY = os.environ.get("EARLY") == "1"  # the crash comes before any byte
 
 
 async def play(case: Case) -> int:
     """Play the case; return the exit code."""
     store = Store(case)
     await store.open()
-    servers = [Server(case, store, f"i-{n}", "app") for n in range(3)]
+
+    async def work(server: Server, request: Message, writer) -> bool:
+        if not TROUBLE or request.first[1] != PATH:
+            return False
+        await asyncio.sleep(0.02)
+        if not EARLY:
+            name = request.headers["x-nutmegslip-request-id"]
+            head = (
+                f"HTTP/1.1 200 OK\r\ncontent-length: 800\r\n"
+                f"x-nutmegslip-request-id: {name}\r\n"
+                "x-nutmegslip-response-seal: 0123456789abcdef\r\n\r\n"
+            )
+            writer.write(head.encode() + b"x" * 200)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        case.keep(asyncio.create_task(server.crash(DOWN_S)))
+        await asyncio.sleep(1.0)
+        return True
+
+    servers = [Server(case, store, f"i-{n}", "app", work=work) for n in range(8)]
     for server in servers:
         await server.open()
-    routes = [route("look", "app", timeoutMs=TIMEOUT_MS)]
-    store.put("op/config", configuration(3, routes))
-    reading, writing = os.pipe()
-    collector = await case.start("python3", "-c", COLLECTOR, stdin=reading)
-    os.close(reading)
+    tenants = [
+        {"name": "tenant-a", "apiKeys": ["key-a"]},
+        {"name": "tenant-b", "apiKeys": ["key-b"]},
+    ]
+    store.put("op/config", configuration(3, [route("look", "app")], tenants=tenants))
     entry = Entry(case, store, "entry", "127.0.0.1", free_port(), [])
-    await entry.start(stdout=writing)
-    os.close(writing)
+    await entry.start()
     await entry.wait_ready()
     client = Client(case, entry)
-    late: dict[str, list[bool]] = {"before": [], "while": [], "after": []}
-
-    async def ask(phase: str) -> None:
-        wait_s = TIMEOUT_MS / 1_000 + SLACK_S
-        _, reply = await client.send("/look/1", limit_ms=1_500, wait_s=wait_s)
-        late[phase].append(reply.failure == "no answer in time")
+    asked: list[asyncio.Task] = []
+    sound: list[int] = []
 
-    async def traffic(phase: str, length_s: float) -> None:
-        asked = []
-        for _ in range(int(length_s * RATE)):
-            asked.append(asyncio.create_task(ask(phase)))
-            await asyncio.sleep(1 / RATE)
-        await asyncio.gather(*asked)
+    async def ask_sound(number: int) -> None:
+        _, reply = await client.send(f"/look/{number}", key="key-b")
+        sound.append(reply.status)
 
-    await traffic("before", BEFORE_S)
-    if TROUBLE:
-        case.note("the collector of the log stops")
-        collector.send_signal(signal.SIGSTOP)
-    await traffic("while", STOPPED_S)
-    case.note(f"says that it is ready: {await entry.is_ready()}")
-    if TROUBLE:
-        case.note("the collector of the log goes on")
-        collector.send_signal(signal.SIGCONT)
-    await asyncio.sleep(2.0)
-    await traffic("after", AFTER_S)
-    counts = {name: f"{sum(found)} of {len(found)}" for name, found in late.items()}
-    # A process that serves answers each of these within some tens of milliseconds.
-    silent = late["while"][-200:]
+    number = 0
+    end = case.now() + LENGTH_S
+    while case.now() < end:
+        if number % 30 == 0:  # every 1.5 s
+            asked.append(asyncio.create_task(client.send(PATH, key="key-a")))
+        number += 1
+        asked.append(asyncio.create_task(ask_sound(number)))
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*asked)
+    crashes = sorted(at for server in servers for at in server.crashes)
+    arrivals = [a for s in servers for a in s.arrivals if a.path == PATH and a.ran]
+    bound = crashes[2] + STABILITY_S if len(crashes) > 2 else end
+    late = [a for a in arrivals if a.at > bound]
+    served = sum(status == 200 for status in sound)
     return case.verdict(
-        sum(silent) > len(silent) / 2,
-        f"no answer 0.5 s after the route's timeout: {counts}; "
-        f"{sum(silent)} of the last {len(silent)} while the collector stood",
+        len(late) > MAX_RETRIES,
+        f"the request has crashed {len(crashes)} servers; it reached servers "
+        f"{len(late)} times later than {STABILITY_S:.0f} s after the third crash; "
+        f"{served} of {len(sound)} sound requests were served",
     )
 
 
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,6 +1,7 @@
-"""The store loses one answer, the one that tells an entry of a revoked key."""
+"""A part of prompts crashes each server that begins to write an answer on it."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -12,86 +13,105 @@
     Case,
     Client,
     Entry,
+    Message,
     Server,
     Store,
     configuration,
     free_port,
     route,
     run,
+    stream_events,
 )
 
-PROPAGATION_S = 2.0  # configPropagationMs
 STABILITY_S = 3.0  # stabilityWindowMs
-CYCLES = 5
-GAP_S = 0.4  # between the two versions of a cycle
-RATE = 20  # requests a second with the revoked key
-
-
-def version(number: int, revoked: int) -> dict:
-    """Return a version in which the first ``revoked`` keys are gone."""
-    keys = [f"key-{n}" for n in range(CYCLES) if n >= revoked]
-    tenants = [
-        {"name": "tenant-a", "apiKeys": keys},
-        {"name": "tenant-b", "apiKeys": ["key-b"]},
-    ]
-    return configuration(number, [route("look", "app")], tenants=tenants)
+MAX_REQUESTS = 3  # the rule
+OBJECTIVE_MS = 400
+CRASH_MS = int(os.environ.get("CRASH_MS", "20"))  # after the request arrived
+DOWN_S = 2.0  # "the runner is back after some seconds"
+LENGTH_S = 40.0
+PAUSE_S = 0.15  # between two requests
+BAD_EVERY = 10  # requests
+BAD_PART = "bad0bad0"
+SOUND_PARTS = 7
+SERVERS, SLOTS = 12, 6
+EVENTS, EVENT_PAUSE_S = 28, 0.04
 
 
 async def play(case: Case) -> int:
     """Play the case; return the exit code."""
     store = Store(case)
     await store.open()
-    servers = [Server(case, store, f"i-{n}", "app") for n in range(3)]
+
+    async def work(server: Server, request: Message, writer) -> bool:
+        parts = request.headers.get("x-nutmegslip-prompt-prefix", "")
+        if not (TROUBLE and parts.startswith(BAD_PART)):
+            await stream_events(request, writer, EVENTS, EVENT_PAUSE_S)
+            return True
+        await asyncio.sleep(CRASH_MS / 1_000)
+        case.keep(asyncio.create_task(server.crash(DOWN_S)))
+        await asyncio.sleep(1.0)
+        return True
+
+    servers = [
+        Server(case, store, f"model-{n}", "model", slots=SLOTS, work=work)
+        for n in range(SERVERS)
+    ]
     for server in servers:
         await server.open()
-    store.put("op/config", version(3, 0))
+    streams = route(
+        "ask",
+        "model",
+        kind="streaming",
+        timeoutMs=8_000,
+        latencyTargetMs=OBJECTIVE_MS,
+        gapTargetMs=120,
+        priority=1,
+        resumable=True,
+        sticky=True,
+    )
+    store.put("op/config", configuration(3, [streams]))
     entry = Entry(case, store, "entry", "127.0.0.1", free_port(), [])
     await entry.start()
     await entry.wait_ready()
     client = Client(case, entry)
-    # By request: when it was sent, and from when on its key must not be served.
-    sent: dict[str, tuple[float, float]] = {}
+    sound: list[int] = []
 
-    async def ask(key: str, bound: float) -> None:
-        at = case.now()
-        request, _ = await client.send("/look/1", key=key)
-        sent[request] = (at, bound)
+    async def ask(number: int) -> None:
+        is_bad = number % BAD_EVERY == 0
+        part = BAD_PART if is_bad else f"5a0d{number % SOUND_PARTS:04x}"
+        extra = {
+            "x-nutmegslip-model": "m",
+            "x-nutmegslip-token-counts": f"100,{EVENTS * 5}",
+            # The last part belongs to the request itself.
+            "x-nutmegslip-prompt-prefix": f"{part}:40,{number:08x}:60",
+        }
+        _, reply = await client.send(
+            "/ask/1", method="POST", body=b"%d" % number, limit_ms=8_000, extra=extra
+        )
+        if not is_bad:
+            sound.append(reply.status)
 
-    for cycle in range(CYCLES):
-        await asyncio.sleep(3.0)
-        store.put("op/config", version(10 * cycle + 10, cycle))
-        await asyncio.sleep(GAP_S - 0.1)
-        store.loses_answers = TROUBLE
-        if TROUBLE:
-            case.note("the store begins to lose answers")
-        await asyncio.sleep(0.1)
-        confirmed = store.put("op/config", version(10 * cycle + 13, cycle + 1))
-        await asyncio.sleep(0.1)
-        store.loses_answers = False
-        ended = case.now()
-        case.note("the store loses no more answers")
-        bound = confirmed + PROPAGATION_S
-        if TROUBLE:
-            bound = max(bound, ended + STABILITY_S)
-        asked = []
-        while case.now() < ended + 5.0:
-            asked.append(asyncio.create_task(ask(f"key-{cycle}", bound)))
-            await asyncio.sleep(1 / RATE)
-        await asyncio.gather(*asked)
-    ran = {a.request for server in servers for a in server.arrivals if a.ran}
-    late = {
-        request: at - bound
-        for request, (at, bound) in sent.items()
-        if request in ran and at > bound
-    }
-    due = sum(at > bound for at, bound in sent.values())
-    for request, over_s in late.items():
-        case.note(f"{request} ran; sent {over_s:.3f} s after the bound")
+    asked: list[asyncio.Task] = []
+    end = case.now() + LENGTH_S
+    while case.now() < end:
+        asked.append(asyncio.create_task(ask(len(asked) + 1)))
+        await asyncio.sleep(PAUSE_S)
+    await asyncio.gather(*asked)
+    crashes = sorted(at for server in servers for at in server.crashes)
+    arrivals = [
+        arrival
+        for server in servers
+        for arrival in server.arrivals
+        if arrival.parts.startswith(BAD_PART) and arrival.ran
+    ]
+    bound = crashes[4] + STABILITY_S if len(crashes) > 4 else case.now()
+    late = [arrival for arrival in arrivals if arrival.at > bound]
+    served = sum(status == 200 for status in sound)
     return case.verdict(
-        bool(late),
-        f"{len(late)} of {due} requests that were sent after the bound ran with a "
-        f"dropped key, up to {max(late.values(), default=0):.3f} s after it; "
-        f"{store.lost} answers were lost",
+        len(late) > MAX_REQUESTS,
+        f"the part has crashed {len(crashes)} servers; requests with it reached them "
+        f"{len(late)} times later than {STABILITY_S:.0f} s after the fifth crash; "
+        f"{served} of {len(sound)} sound requests were answered",
     )
 
 
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,7 +1,9 @@
-"""A version of the configuration holds no client account any more."""
+"""The process that collects an entry's log stops reading for a while."""
 
 import asyncio
+import os
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -20,7 +22,13 @@
     run,
 )
 
-PROPAGATION_S = 2.0  # configPropagationMs
+TIMEOUT_MS = 800  # of the route
+SLACK_S = 0.5  # the rule: no answer half a second after the timeout
+BEFORE_S = 4.0
+STOPPED_S = 30.0
+AFTER_S = 4.0
+RATE = 40  # requests a second
+COLLECTOR = "import sys\nfor line in sys.stdin.buffer:\n    pass\n"
 
 
 async def play(case: Case) -> int:
@@ -30,38 +38,48 @@
     servers = [Server(case, store, f"i-{n}", "app") for n in range(3)]
     for server in servers:
         await server.open()
-    routes = [
-        route("look", "app"),
-        route("send", "app", kind="non_idempotent", attempts=1),
-    ]
-    tenants = [{"name": "tenant-a", "apiKeys": ["key-a"]}]
-    store.put("op/config", configuration(3, routes, tenants=tenants))
+    routes = [route("look", "app", timeoutMs=TIMEOUT_MS)]
+    store.put("op/config", configuration(3, routes))
+    reading, writing = os.pipe()
+    collector = await case.start("python3", "-c", COLLECTOR, stdin=reading)
+    os.close(reading)
     entry = Entry(case, store, "entry", "127.0.0.1", free_port(), [])
-    await entry.start()
+    await entry.start(stdout=writing)
+    os.close(writing)
     await entry.wait_ready()
     client = Client(case, entry)
-    _, reply = await client.send("/look/1", key="key-a")
-    if reply.status != 200:
-        case.note("the key is not served before it is taken away")
-        return 2
+    late: dict[str, list[bool]] = {"before": [], "while": [], "after": []}
+
+    async def ask(phase: str) -> None:
+        wait_s = TIMEOUT_MS / 1_000 + SLACK_S
+        _, reply = await client.send("/look/1", limit_ms=1_500, wait_s=wait_s)
+        late[phase].append(reply.failure == "no answer in time")
+
+    async def traffic(phase: str, length_s: float) -> None:
+        asked = []
+        for _ in range(int(length_s * RATE)):
+            asked.append(asyncio.create_task(ask(phase)))
+            await asyncio.sleep(1 / RATE)
+        await asyncio.gather(*asked)
+
+    await traffic("before", BEFORE_S)
+    if TROUBLE:
+        case.note("the collector of the log stops")
+        collector.send_signal(signal.SIGSTOP)
+    await traffic("while", STOPPED_S)
+    case.note(f"says that it is ready: {await entry.is_ready()}")
     if TROUBLE:
-        store.put("op/config", configuration(5, routes, tenants=[]))
-    await asyncio.sleep(PROPAGATION_S + 1.0)
-    keys = [None, "key-never"] + (["key-a"] if TROUBLE else [])
-    wrong = []
-    for _ in range(5):
-        for key in keys:
-            for path, method, body in (
-                ("/look/1", "GET", b""),
-                ("/send/1", "POST", b"list"),
-            ):
-                request, _ = await client.send(path, key=key, method=method, body=body)
-                wrong.append(request)
-    ran = {a.request for server in servers for a in server.arrivals if a.ran}
+        case.note("the collector of the log goes on")
+        collector.send_signal(signal.SIGCONT)
+    await asyncio.sleep(2.0)
+    await traffic("after", AFTER_S)
+    counts = {name: f"{sum(found)} of {len(found)}" for name, found in late.items()}
+    # A process that serves answers each of these within some tens of milliseconds.
+    silent = late["while"][-200:]
     return case.verdict(
-        bool(ran & set(wrong)),
-        f"{len(ran & set(wrong))} of {len(wrong)} requests without a key that any "
-        "version in force holds ran",
+        sum(silent) > len(silent) / 2,
+        f"no answer 0.5 s after the route's timeout: {counts}; "
+        f"{sum(silent)} of the last {len(silent)} while the collector stood",
     )
 
 
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -291,6 +291,7 @@
     request: str
     path: str
     account: str
+    parts: str
     ran: bool
 
 
@@ -373,6 +374,7 @@
                 headers.get("x-nutmegslip-request-id", ""),
                 request.first[1],
                 headers.get("x-nutmegslip-tenant", ""),
+                headers.get("x-nutmegslip-prompt-prefix", ""),
                 ran,
             )
             self.arrivals.append(arrival)
@@ -422,6 +424,23 @@
     writer.write(b"0\r\n\r\n")
 
 
+async def start_flood(
+    case: Case, store: Store, name: str, content_type: str, chunk_bytes: int
+) -> None:
+    """Start a model server whose answers do not end, as a process of its own."""
+    program = str(pathlib.Path(__file__).with_name("flood.py"))
+    words = ("python3", program, name, content_type, str(chunk_bytes))
+    flood = await case.start(*words, stdout=asyncio.subprocess.PIPE)
+    port = int(await flood.stdout.readline())
+    store.register(name, f"127.0.0.1:{port}", "model", "zone-a", 6)
+
+    async def copy() -> None:
+        while line := await flood.stdout.readline():
+            case.note(f"server {name} {line.decode().strip()}")
+
+    case.keep(asyncio.create_task(copy()))
+
+
 class Entry:
     """An entry process, started with the command of the deploy file."""
 
@@ -564,6 +583,7 @@
         body: bytes = b"",
         limit_ms: int = 1_500,
         wait_s: float | None = None,
+        extra: dict[str, str] | None = None,
     ) -> tuple[str, Reply]:
         """Send a request; return its id and the answer."""
         self._count += 1
@@ -571,7 +591,7 @@
         headers = {
             "x-nutmegslip-request-id": request,
             "x-nutmegslip-deadline-ms": str(limit_ms),
-        }
+        } | (extra or {})
         if key is not None:
             headers["x-nutmegslip-key"] = key
         self._case.note(f"client sends {request} {method} {path} with key {key}")
