--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -137,7 +137,7 @@
 
 
 async def read_message(reader: asyncio.StreamReader) -> Message:
-    """Read one message with a length, or with a body up to the end of the channel."""
+    """Read one message with a length, in chunks, or without a body."""
     head = (await reader.readuntil(HEADER_END)).decode("latin-1")
     first, *lines = head.strip().split("\r\n")
     headers = {
@@ -147,9 +147,20 @@
     body = b""
     if length := int(headers.get("content-length", "0")):
         body = await reader.readexactly(length)
+    elif headers.get("transfer-encoding") == "chunked":
+        body = await read_chunks(reader)
     return Message(first.split(" ", 2), headers, body)
 
 
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Read a body in chunks up to its end."""
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readline()
+    return body
+
+
 def encode_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
     """Return a complete response."""
     lines = [f"HTTP/1.1 {status} S", f"content-length: {len(body)}"]
