--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -155,9 +155,9 @@
 async def read_chunks(reader: asyncio.StreamReader) -> bytes:
     """Read a body in chunks up to its end."""
     body = b""
-    while size := int(await reader.readline(), 16):
+    while size := int(await reader.readuntil(b"\n"), 16):
         body += (await reader.readexactly(size + 2))[:-2]
-    await reader.readline()
+    await reader.readuntil(b"\n")
     return body
 
 
