Read bodies into one buffer, and limit what all of them take

Cause: a body was kept as a list of pieces. The limit counts bytes, a piece of 2 bytes takes 62. The same list stood in the reader of callers' requests.

Ruled out: bytes that pile up unread, as each read is parsed before the next one. New metrics tell the causes apart: resident memory, bytes of bodies held, bodies given up.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -1,9 +1,16 @@
 """Count events and measure the duration of requests."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+)
 
 from nutmegslip_decisions.direct import State, hedge_limit, open_share, retry_budget
 from nutmegslip_decisions.model import Millis
+from nutmegslip_entry.direct._pool import Pool
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
 
@@ -13,6 +20,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self._events = Counter(
             "nutmegslip_events", "Events, by name.", ["event"], registry=self.registry
         )
@@ -58,6 +66,16 @@
             ["use"],
             registry=self.registry,
         )
+        self._held_body_bytes = Gauge(
+            "nutmegslip_held_body_bytes",
+            "Bytes of answers that are being read as a whole.",
+            registry=self.registry,
+        )
+        self._refused_bodies = Gauge(
+            "nutmegslip_refused_bodies",
+            "Long answers given up since all bodies together took too much memory.",
+            registry=self.registry,
+        )
         self._hedges = Gauge(
             "nutmegslip_hedges",
             "Second attempts of slow requests that this entry sent in the window.",
@@ -106,10 +124,12 @@
         """Record the duration of one served request."""
         self._request_seconds.observe(milliseconds / 1_000)
 
-    def update_connections(self, opened: int, reused: int) -> None:
-        """Set the counts of connections that were opened and reused."""
-        self._connections.labels("opened").set(opened)
-        self._connections.labels("reused").set(reused)
+    def update_pool(self, pool: Pool) -> None:
+        """Set the gauges of connections to upstreams and of what is read from them."""
+        self._connections.labels("opened").set(pool.opened)
+        self._connections.labels("reused").set(pool.reused)
+        self._held_body_bytes.set(pool.held_bodies.held_bytes)
+        self._refused_bodies.set(pool.held_bodies.refused)
 
     def update_gauges(self, state: State, store_calls: int, now_ms: Millis) -> None:
         """Set the gauges from a state."""
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from nutmegslip_decisions.direct import Upstream
-from nutmegslip_runtime.http1 import ClientConnection
+from nutmegslip_runtime.http1 import ClientConnection, HeldBodies
 
 CONNECT_TIMEOUT_MS = 400  # a round trip takes a few ms; a failed host never answers
 UNSTATED_IDLE_MS = 4_000  # most upstreams close idle connections after 5 s or more
@@ -26,6 +26,7 @@
         self._idle: dict[tuple, list[ClientConnection]] = defaultdict(list)
         self.opened = 0
         self.reused = 0
+        self.held_bodies = HeldBodies()
 
     def acquire(
         self, upstream: Upstream, deadline_ms: int, *, fresh: bool
@@ -44,7 +45,11 @@
         self.opened += 1
         timeout_ms = min(CONNECT_TIMEOUT_MS, deadline_ms - self._clock())
         return ClientConnection.connect(
-            upstream.host, upstream.port, max(timeout_ms, 1) / 1_000, self._clock
+            upstream.host,
+            upstream.port,
+            max(timeout_ms, 1) / 1_000,
+            self._clock,
+            self.held_bodies,
         )
 
     def release(self, upstream: Upstream, connection: ClientConnection) -> int:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -216,7 +216,7 @@
         self._metrics.update_gauges(
             self._machine.state, self._feed.calls, boottime_ms()
         )
-        self._metrics.update_connections(self._pool.opened, self._pool.reused)
+        self._metrics.update_pool(self._pool)
         caller.answer(
             200, [METRICS_CONTENT_TYPE], generate_latest(self._metrics.registry)
         )
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
@@ -18,6 +18,7 @@
     encode_request,
     end_to_end_headers,
 )
+from nutmegslip_runtime.http1._held_bodies import HeldBodies
 from nutmegslip_runtime.http1._requests import (
     HttpRequest,
     RequestFault,
@@ -38,6 +39,7 @@
     "ConnectionTimedOut",
     "Framing",
     "Header",
+    "HeldBodies",
     "HttpRequest",
     "NotConnected",
     "RequestFault",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -11,13 +11,15 @@
 import httptools
 
 from nutmegslip_runtime.http1._encoding import Framing, Header
+from nutmegslip_runtime.http1._held_bodies import HeldBodies
 from nutmegslip_runtime.http1._sockets import configure_socket, send_all
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384  # parsed in one turn, in pieces as small as the server likes
 MAX_HEAD_BYTES = 65_536  # also of what stands between two pieces of a body
 MAX_BODY_BYTES = 16_777_216
 MAX_INTERIM_RESPONSES = 16
-YIELD_BYTES = 262_144  # a read that never has to wait lets no other greenlet run
+MAX_UNREAD_PIECES = 64  # further pieces of a body are joined with the last one
+YIELD_BYTES = 65_536  # a read that never has to wait lets no other greenlet run
 FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[\s,;])timeout\s*=\s*(\d{1,9})", re.IGNORECASE)
 
@@ -66,11 +68,17 @@
 class ClientConnection:
     """A connection that reads responses in order; each read has a deadline."""
 
-    def __init__(self, sock: socket.socket, clock: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        clock: Callable[[], int],
+        held_bodies: HeldBodies | None = None,
+    ) -> None:
         self._socket = sock
         self._clock = clock
+        self._held_bodies = held_bodies or HeldBodies()
         self._parser = httptools.HttpResponseParser(self)
-        self._parts: deque[ResponseHead | bytes | _EndOfBody] = deque()
+        self._parts: deque[ResponseHead | bytearray | _EndOfBody] = deque()
         self._reason = b""
         self._headers: list[Header] = []
         self._framing = Framing.NONE
@@ -85,7 +93,12 @@
 
     @classmethod
     def connect(
-        cls, host: str, port: int, timeout_s: float, clock: Callable[[], int]
+        cls,
+        host: str,
+        port: int,
+        timeout_s: float,
+        clock: Callable[[], int],
+        held_bodies: HeldBodies | None = None,
     ) -> "ClientConnection":
         """Open a connection; raise NotConnected if that fails or times out."""
         try:
@@ -95,7 +108,7 @@
         except OSError as error:
             raise NotConnected(f"{host}:{port}: {error}") from error
         configure_socket(sock)
-        return cls(sock, clock)
+        return cls(sock, clock, held_bodies)
 
     @property
     def was_used(self) -> bool:
@@ -154,8 +167,8 @@
         """Return the next bytes of the body, empty at its end."""
         part = self._next(deadline_ms)
         match part:
-            case bytes():
-                return part
+            case bytearray():
+                return bytes(part)
             case _EndOfBody():
                 return b""
             case ResponseHead():
@@ -164,15 +177,18 @@
     def read_whole_body(
         self, deadline_ms: int, *, max_bytes: int = MAX_BODY_BYTES
     ) -> bytes:
-        """Return the rest of the body; raise ConnectionBroken if it is too long."""
-        pieces: list[bytes] = []
-        length = 0
-        while piece := self.read_body(deadline_ms):
-            pieces.append(piece)
-            length += len(piece)
-            if length > max_bytes:
-                raise ConnectionBroken(f"the body exceeds {max_bytes} bytes")
-        return b"".join(pieces)
+        """Return the rest of the body; raise ConnectionBroken if it is too long.
+
+        It is also too long if the process holds too many bytes of bodies.
+        """
+        with self._held_bodies.hold() as body:
+            while piece := self.read_body(deadline_ms):
+                body.append(piece)
+                if body.length > max_bytes:
+                    raise ConnectionBroken(f"the body exceeds {max_bytes} bytes")
+                if body.is_over_share:
+                    raise ConnectionBroken("the process holds too many long bodies")
+            return body.content()
 
     def exchange(self, request: bytes, deadline_ms: int) -> tuple[ResponseHead, bytes]:
         """Send a request; return the head and the complete body of its response.
@@ -186,7 +202,7 @@
         """Close the connection immediately."""
         self._socket.close()
 
-    def _next(self, deadline_ms: int) -> "ResponseHead | bytes | _EndOfBody":
+    def _next(self, deadline_ms: int) -> "ResponseHead | bytearray | _EndOfBody":
         while not self._parts:
             remaining_ms = deadline_ms - self._clock()
             if remaining_ms <= 0:
@@ -268,8 +284,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body (called by the parser)."""
-        if not self._head_request:
-            self._parts.append(bytes(body))
+        if self._head_request:
+            return
+        if len(self._parts) > MAX_UNREAD_PIECES and isinstance(
+            self._parts[-1], bytearray
+        ):
+            self._parts[-1] += body
+        else:
+            self._parts.append(bytearray(body))
 
     def on_message_complete(self) -> None:
         """End the response (called by the parser)."""
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
@@ -47,8 +47,7 @@
         self._complete: deque[HttpRequest] = deque()
         self._request = HttpRequest()
         self._head_size = 0
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
         self._fault: RequestFault | None = None
         self.in_head = False
         self._received_bytes = 0  # since the last complete request
@@ -75,7 +74,7 @@
     def on_message_begin(self) -> None:
         """Begin a request (called by the parser)."""
         self._request = HttpRequest()
-        self._body, self._head_size, self._body_size = [], 0, 0
+        self._body, self._head_size = bytearray(), 0
         self.in_head = True
         self.receiving = True
 
@@ -104,14 +103,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body (called by the parser)."""
-        self._body_size += len(body)
-        if self._body_size > self._body_bytes:
+        self._body += body
+        if len(self._body) > self._body_bytes:
             self._refuse(413, "the body exceeds the size limit")
-        self._body.append(bytes(body))
 
     def on_message_complete(self) -> None:
         """Store the complete request (called by the parser)."""
-        self._request.body = b"".join(self._body)
+        self._request.body = bytes(self._body)
         self._complete.append(self._request)
         self.receiving = False
         self.expects_continue = False
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -1,6 +1,7 @@
 """Test the parsing of requests and responses, including hostile ones."""
 
 import socket
+import tracemalloc
 import unittest
 
 import gevent.socket
@@ -11,6 +12,7 @@
     ConnectionBroken,
     ConnectionTimedOut,
     Framing,
+    HeldBodies,
     NotConnected,
     RequestFault,
     RequestReader,
@@ -244,5 +246,97 @@
             ClientConnection.connect("127.0.0.1", port, 1.0, boottime_ms)
 
 
+def chunked(body_bytes: int, piece_bytes: int) -> bytes:
+    """Return a response in chunks of a size."""
+    chunk = b"%x\r\n%s\r\n" % (piece_bytes, b"x" * piece_bytes)
+    head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    return head + chunk * (body_bytes // piece_bytes) + b"0\r\n\r\n"
+
+
+class BodyMemoryTests(unittest.TestCase):
+    """Guard against a peer whose body in tiny pieces takes many times its length.
+
+    A list of 2-byte pieces took 28 times the bytes received, so that one server filled
+    the memory of a process.
+    """
+
+    BODY_BYTES = 288_000
+    ALLOWED_BYTES = 3 * BODY_BYTES  # the buffer while it grows, and the copy returned
+
+    def _peak_of(self, read, *arguments) -> int:
+        tracemalloc.start()
+        try:
+            read(*arguments)
+            return tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+
+    def test_an_answer_takes_its_length_in_memory_for_any_split(self):
+        for piece_bytes in (1, 2, 3, 16, 64, 4_500):
+            with self.subTest(piece_bytes=piece_bytes):
+                ours, server = gevent.socket.socketpair()
+                self.addCleanup(server.close)
+                connection = ClientConnection(ours, boottime_ms)
+                self.addCleanup(connection.close)
+                gevent.spawn(server.sendall, chunked(self.BODY_BYTES, piece_bytes))
+                deadline_ms = boottime_ms() + 20_000
+                connection.read_head(deadline_ms)
+                peak = self._peak_of(connection.read_whole_body, deadline_ms)
+                self.assertLess(peak, self.ALLOWED_BYTES)
+
+    def test_a_request_takes_its_length_in_memory_for_any_split(self):
+        head = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        for piece_bytes in (1, 2, 3, 16, 64, 4_500):
+            with self.subTest(piece_bytes=piece_bytes):
+                reader = RequestReader(HEADER_BYTES, 2 * self.BODY_BYTES)
+                reader.feed(head)
+                answer = chunked(self.BODY_BYTES, piece_bytes)
+                _, _, body = answer.partition(b"\r\n\r\n")
+                peak = self._peak_of(reader.feed, body)
+                self.assertEqual(len(reader.next_request().body), self.BODY_BYTES)
+                self.assertLess(peak, self.ALLOWED_BYTES)
+
+    def test_long_bodies_are_given_up_before_they_take_too_much_together(self):
+        """Guard against many endless bodies at once, each below its own limit."""
+        held = HeldBodies(max_bytes=4_000_000)
+        outcomes = []
+
+        def read_endless(connection):
+            deadline_ms = boottime_ms() + 20_000
+            connection.read_head(deadline_ms)
+            try:
+                connection.read_whole_body(deadline_ms)
+            except ConnectionBroken as error:
+                outcomes.append(str(error))
+
+        data = b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 2_500_000
+        readers = []
+        for _ in range(3):
+            ours, server = gevent.socket.socketpair()
+            self.addCleanup(server.close)
+            connection = ClientConnection(ours, boottime_ms, held)
+            self.addCleanup(connection.close)
+            gevent.spawn(server.sendall, data)
+            readers.append(gevent.spawn(read_endless, connection))
+        gevent.joinall(readers, timeout=10, count=1)
+        gevent.killall(readers)
+        self.assertEqual(outcomes[:1], ["the process holds too many long bodies"])
+        self.assertEqual((held.held_bytes, held.refused >= 1), (0, True))
+
+    def test_a_short_body_is_read_while_long_ones_fill_the_memory(self):
+        held = HeldBodies(max_bytes=1_000)
+        ours, server = gevent.socket.socketpair()
+        self.addCleanup(server.close)
+        connection = ClientConnection(ours, boottime_ms, held)
+        self.addCleanup(connection.close)
+        with held.hold() as other:
+            other.append(b"x" * 5_000)
+            server.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 4000\r\n\r\n")
+            server.sendall(b"y" * 4_000)
+            deadline_ms = boottime_ms() + 5_000
+            connection.read_head(deadline_ms)
+            self.assertEqual(len(connection.read_whole_body(deadline_ms)), 4_000)
+
+
 if __name__ == "__main__":
     unittest.main()
