--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -30,6 +30,11 @@
             buckets=REQUEST_BUCKETS_S,
             registry=self.registry,
         )
+        self._longest_turn_seconds = Gauge(
+            "nutmegslip_longest_turn_seconds",
+            "Longest time in the last second in which one greenlet ran alone.",
+            registry=self.registry,
+        )
         self._in_flight = Gauge(
             "nutmegslip_requests_in_hand",
             "Requests without a final answer.",
@@ -124,6 +129,10 @@
         """Record the duration of one served request."""
         self._request_seconds.observe(milliseconds / 1_000)
 
+    def observe_turn(self, milliseconds: int) -> None:
+        """Record the longest turn of the last second."""
+        self._longest_turn_seconds.set(milliseconds / 1_000)
+
     def update_pool(self, pool: Pool) -> None:
         """Set the gauges of connections to upstreams and of what is read from them."""
         self._connections.labels("opened").set(pool.opened)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -37,6 +37,7 @@
 from nutmegslip_entry.direct._pool import Pool
 from nutmegslip_entry.direct._settings import Settings, read_settings
 from nutmegslip_entry.direct._state_machine import StateMachine
+from nutmegslip_entry.direct._watchdog import Watchdog
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.eventlog import RateLimitedLog, make_log
 from nutmegslip_runtime.exits import ExitCode
@@ -45,6 +46,7 @@
 TICK_INTERVAL_S = 0.05  # a queued request is refused at most this late
 PACE_INTERVAL_S = 0.25  # two or three steps of a group
 HOUSEKEEPING_INTERVAL_S = 1.0
+LONG_TURN_MS = 250  # streams of all callers stand still meanwhile
 TASK_RESTART_DELAY_S = 0.25
 PROCESS_ID_COUNT = 2**32
 LISTEN_BACKLOG = 512
@@ -91,6 +93,7 @@
         )
         self._log = RateLimitedLog(log)
         self._metrics = Metrics()
+        self._watchdog = Watchdog()
         self._machine = StateMachine(
             settings.options,
             boottime_ms,
@@ -156,10 +159,12 @@
         callers = self._listen(self._settings.callers, self._serve)
         self._listen(self._settings.ready, self._serve_ready)
         self._listen(self._settings.metrics, self._serve_metrics)
+        self._watchdog.start()
         self._log.emit("process-started")
         self._log.flush()
         self._stop_requested.wait()
         code = self._stop(callers)
+        self._watchdog.stop()
         gevent.killall(tasks)
         self._log.flush()
         return code
@@ -235,11 +240,18 @@
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
             self._pool.close_expired()
+            self._report_longest_turn()
             self._log.end_second()
             self._log.flush()
             if _modified_ns(self._file) != self._file_modified_ns:
                 self._reload()
 
+    def _report_longest_turn(self) -> None:
+        turn = self._watchdog.longest_turn()
+        self._metrics.observe_turn(turn.took_ms)
+        if turn.took_ms >= LONG_TURN_MS:
+            self._log.emit("event-loop-blocked", **turn._asdict())
+
     def _reload(self) -> None:
         self._file_modified_ns = _modified_ns(self._file)
         read = read_settings(self._file)
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -348,6 +348,15 @@
         NO_REMEDY,
         ("upstream",),
     ),
+    EventKind(
+        2048,
+        "event-loop-blocked",
+        Level.WARNING,
+        "All requests of this process stood still while one greenlet ran.",
+        "If 'cpu_ms' is far below 'took_ms', the process was suspended: look at the "
+        "host. Otherwise report it as a bug, with what 'ran'.",
+        ("took_ms", "ran", "cpu_ms"),
+    ),
     EventKind(
         2101,
         "request-sent",
