Copy and search each byte of a stream once, however small its pieces are

Cause: for each piece the splitter copied all that was buffered, up to 1 MiB, and searched it from the start: 40,020,000 bytes for 20,000 received in 2,000 pieces. Ruled out: a reader that does not yield (0.7 ms a turn of 16 KiB), a caller that does not read (nothing is written to it).

Fix: one buffer, searched from the last byte on. Blank lines after the last event are passed on; whether they were taken for a broken event depended on the split.

--- a/fakes/runners/_faults.py
+++ b/fakes/runners/_faults.py
@@ -28,6 +28,7 @@
     SLOW = "slow"  # a stream's events come with long pauses
     ENDLESS_HEAD = "endless-head"  # the head of the response does not end
     ENDLESS_BODY = "endless-body"  # bytes that are no body of a response, without end
+    ENDLESS_CHUNKS = "endless-chunks"  # the same in chunks of a few bytes
     ENDLESS_OTHERS = "endless-others"  # responses to other requests, without end
     ENDLESS_SHED = "endless-shed"  # refuses, and the body of the refusal has no end
     STALLED_SHED = "stalled-shed"  # refuses, and the body of the refusal never comes
@@ -36,6 +37,7 @@
 ENDLESS = (
     Fault.ENDLESS_HEAD,
     Fault.ENDLESS_BODY,
+    Fault.ENDLESS_CHUNKS,
     Fault.ENDLESS_OTHERS,
     Fault.ENDLESS_SHED,
 )
--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -27,6 +27,7 @@
 LEAVING = (b"Server-Leaving", b"1")
 DRIP_INTERVAL_S = 0.05
 SLOW_INTERVAL_S = 0.7
+CHUNK_BYTES = 64  # of an endless response in chunks
 ENDLESS_BLOCKS, BLOCK_BYTES = 4_096, 32_768  # an endless response ends by itself
 CRASH_S = 1.5  # for which new connections to a crashed runner wait
 ENDED_BY_CLOSE = frozenset(
@@ -243,6 +244,10 @@
                 encode_head(200, stream if self.events else own, close=True),
                 b"z",
             ),
+            Fault.ENDLESS_CHUNKS: (
+                encode_head(200, stream if self.events else own, chunked=True),
+                encode_chunk(b"z" * CHUNK_BYTES),
+            ),
             Fault.ENDLESS_OTHERS: (b"", encode_head(200, other, length=4) + b"late"),
             Fault.ENDLESS_SHED: (encode_head(503, [NOT_EXECUTED], close=True), b"z"),
         }[self.fault]
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
@@ -10,16 +10,24 @@
 
 
 class EventSplitter:
-    """A buffer for the incomplete end of a stream; ``last_id`` is empty at first."""
+    """A buffer for the incomplete end of a stream; ``last_id`` is empty at first.
+
+    Each byte is copied and searched once, however small the pieces are.
+    """
 
     def __init__(self) -> None:
         self.last_id = ""
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def is_complete(self) -> bool:
-        """Return whether no incomplete event is buffered."""
-        return not self._partial
+        """Return whether no incomplete event is buffered; blank lines are none."""
+        return not self.rest.strip(b"\n")
+
+    @property
+    def rest(self) -> bytes:
+        """Return the buffered bytes."""
+        return bytes(self._partial)
 
     @property
     def is_too_long(self) -> bool:
@@ -28,19 +36,20 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, empty if there are none."""
-        buffered = self._partial + data
-        end = buffered.rfind(EVENT_END)
+        unsearched = max(len(self._partial) - len(EVENT_END) + 1, 0)
+        self._partial += data
+        end = self._partial.rfind(EVENT_END, unsearched)
         if end < 0:
-            self._partial = buffered
             return b""
         end += len(EVENT_END)
-        complete, self._partial = buffered[:end], buffered[end:]
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         self._remember_last_id(complete)
         return complete
 
     def restart(self) -> None:
         """Drop the incomplete event; the next upstream sends it again."""
-        self._partial = b""
+        self._partial.clear()
 
     def _remember_last_id(self, complete: bytes) -> None:
         start = complete.rfind(b"\n" + ID_FIELD)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -427,8 +427,8 @@
     def _end_stream(self, answer: ResponseHead) -> None:
         if not self._events.is_complete:
             raise ConnectionBroken("the stream ended within an event")
-        if not self._caller.streaming:
-            self._caller.stream(answer, b"", self._http_request.version)
+        if self._events.rest or not self._caller.streaming:
+            self._caller.stream(answer, self._events.rest, self._http_request.version)
         self._caller.end_stream()
 
     def _forward(self, complete: CompleteAnswer) -> None:
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -588,6 +588,36 @@
         self.assertEqual(splitter.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n")
         self.assertEqual((splitter.last_id, splitter.is_complete), ("2", True))
 
+    @given(st.lists(st.sampled_from([b"\n", b"\n\n", b"id: 7\n", b"data: a"])))
+    def test_the_events_are_the_same_for_any_split(self, parts):
+        whole, bytewise = EventSplitter(), EventSplitter()
+        data = b"".join(parts)
+        events = whole.feed(data) + whole.rest
+        pieces = [bytewise.feed(data[i : i + 1]) for i in range(len(data))]
+        self.assertEqual(b"".join([*pieces, bytewise.rest]), events)
+        self.assertEqual(bytewise.last_id, whole.last_id)
+        self.assertEqual(bytewise.is_complete, whole.is_complete)
+
+    def test_an_event_is_searched_once_however_small_its_pieces_are(self):
+        """Guard against work that grows with the square of an event's length."""
+
+        class Buffer(bytearray):
+            searched = 0
+
+            def rfind(self, wanted, start=0):
+                Buffer.searched += len(self) - start
+                return super().rfind(wanted, start)
+
+            def __add__(self, data):
+                Buffer.searched += len(self) + len(data)
+                return Buffer(super().__add__(data))
+
+        splitter = EventSplitter()
+        splitter._partial = Buffer()
+        for _ in range(2_000):
+            splitter.feed(b"x" * 10)
+        self.assertLess(Buffer.searched, 2 * 20_000)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_direct_failures.py
+++ b/tests/test_direct_failures.py
@@ -139,6 +139,7 @@
         cases = (
             (Fault.ENDLESS_HEAD, 502),
             (Fault.ENDLESS_BODY, 502),
+            (Fault.ENDLESS_CHUNKS, 502),
             (Fault.ENDLESS_OTHERS, 502),
             (Fault.ENDLESS_SHED, 503),
             (Fault.STALLED_SHED, 503),
@@ -163,14 +164,28 @@
                     self.assertEqual(found, [(200, True)] * 4)
 
     def test_others_are_served_and_the_memory_stays_bounded(self):
-        self.board[0].fault = self.model[0].fault = Fault.ENDLESS_BODY
-        senders = [
-            gevent.spawn(self.site.send, target, method="POST")
-            for target in ("/lookups/1", "/pushes/1", "/verses/1") * 4
+        for fault in (Fault.ENDLESS_BODY, Fault.ENDLESS_CHUNKS):
+            with self.subTest(fault=fault):
+                self.board[0].fault = self.model[0].fault = fault
+                senders = [
+                    gevent.spawn(self.site.send, target, method="POST")
+                    for target in ("/lookups/1", "/pushes/1", "/verses/1") * 4
+                ]
+                gevent.joinall(senders, timeout=10)
+                self.assertTrue(all(sender.successful() for sender in senders))
+                self.assertLess(self.site.entry.peak_memory_mb(), MEMORY_MB)
+
+    def test_an_event_without_end_in_small_chunks_halts_nobody(self):
+        """Guard against an event that costs quadratic time, and halts the entry."""
+        for runner in self.model:
+            runner.fault = Fault.ENDLESS_CHUNKS
+        streams = [
+            gevent.spawn(self.site.send, "/verses/1", method="POST") for _ in range(6)
         ]
-        gevent.joinall(senders, timeout=10)
-        self.assertTrue(all(sender.successful() for sender in senders))
-        self.assertLess(self.site.entry.peak_memory_mb(), MEMORY_MB)
+        lookups = [gevent.spawn(self.site.send, "/lookups/1") for _ in range(12)]
+        gevent.joinall(lookups + streams, timeout=15)
+        self.assertEqual([lookup.value.status for lookup in lookups], [200] * 12)
+        self.assertEqual({stream.value.status for stream in streams}, {502})
 
 
 class PlannedStopTests(DirectTestCase):
