Count crashes of upstreams at any moment of an answer as evidence

Cause: an answer that begins was taken for proof of innocence, and a crash earlier than a tenth of the objective for no evidence. Ruled out: an upstream that is not found to be gone (with EARLY=1 it is), knowledge lost between entries (the case has one).

Fix: a break at any moment counts; where it may be something else, once the upstream is found to be gone. After such a crash only an answer that ended acquits. The chance of an innocent part grows with the requests in flight, a break of many attempts at one moment is one fault, crashes of a blamed part are no evidence against others, disproved crashes are forgotten.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -7,7 +7,7 @@
 Sent again elsewhere, each of them takes out two groups. After two crashes in sequence
 requests with the part are sent once and one at a time, after three they are refused.
 Two probes then find out whether the part still crashes upstreams; the entries take
-turns at them.
+turns at them. The crash may come at any moment from the connect to the last byte.
 """
 
 from collections.abc import Iterable
@@ -20,6 +20,8 @@
 from nutmegslip_decisions.direct._budget import load_of
 from nutmegslip_decisions.direct._part_evidence import (
     CONFIRM_MS,
+    REQUESTS_PER_CRASH,
+    SAME_CRASH_MS,
     Blame,
     Crash,
     Outcome,
@@ -34,9 +36,11 @@
     urgency,
     with_arrival,
     with_crash,
+    with_end_outcome,
     with_inherited,
     with_outcome,
     with_unconfirmed,
+    without_disproved,
     without_expired,
 )
 from nutmegslip_decisions.direct._peers import STALE_AFTER_MS, fresh_peers
@@ -94,28 +98,50 @@
 
 
 def with_crashed_attempt(state: State, request: Request, now_ms: Millis) -> State:
-    """Count an attempt whose upstream crashed before the answer began."""
-    outcome = Outcome(True, request.parts)
-    evidence = with_outcome(state.parts, request.service, outcome)
+    """Count an attempt whose upstream closed the connection before the answer ended."""
+    outcome = Outcome(True, request.parts, request.upstream, now_ms)
+    with_crash_outcome = with_end_outcome if request.begun else with_outcome
+    evidence = with_crash_outcome(state.parts, request.service, outcome)
     if request.fingerprint:
-        share = evidence.share(request.subjects[-1])
-        place = _place(state, request)
-        crash = Crash(request.sent_at_ms, now_ms, share, 0.0, place)
-        broken = UnconfirmedCrash(request.subjects[-1], crash)
+        subject = request.subjects[-1]
+        crash = Crash(
+            request.sent_at_ms,
+            now_ms,
+            evidence.share(subject),
+            place=_place(state, request),
+            needs_end=True,
+        )
+        broken = UnconfirmedCrash(subject, crash)
         evidence = with_unconfirmed(evidence, request.upstream, broken)
     state = state._replace(parts=evidence)
-    lasted_ms = now_ms - request.sent_at_ms
-    if lasted_ms < MIN_START_SHARE * request.route.objective_ms:
-        return state  # too early for an answer to begin: the host or a limit closed it
     answered_ms = load_of(state, request.service).answered_ms
-    if not request.parts or answered_ms + SERVICE_ANSWERS_MS < now_ms:
+    if answered_ms + SERVICE_ANSWERS_MS < now_ms:
         return state
+    return _with_crashed_parts(state, request, now_ms)
+
+
+def _with_crashed_parts(state: State, request: Request, now_ms: Millis) -> State:
+    """Count a crash of the shared parts, or keep it until its upstream is gone."""
+    evidence = state.parts
+    lasted_ms = now_ms - request.sent_at_ms
+    # Earlier no answer begins: the host or a limit may have closed the connection.
+    is_early = lasted_ms < MIN_START_SHARE * request.route.objective_ms
     for part in request.parts:
-        failing = evidence.failing(request.service, part)
+        failing = evidence.failing(request.service, part, begun=request.begun)
         if failing > MAX_FAILING_SHARE:
             continue
-        crash = Crash(request.sent_at_ms, now_ms, evidence.share(part), failing)
-        evidence = with_crash(evidence, part, crash)
+        share = evidence.share(part)
+        if request.begun:
+            in_flight = state.stats_of(request.upstream).in_flight + 1
+            share *= max(in_flight / REQUESTS_PER_CRASH, 1.0)
+        crash = Crash(
+            request.sent_at_ms, now_ms, share, failing, needs_end=request.begun
+        )
+        if is_early or request.begun:
+            broken = UnconfirmedCrash(part, crash, holds=False)
+            evidence = with_unconfirmed(evidence, request.upstream, broken)
+        else:
+            evidence = with_crash(evidence, part, crash)
     return _with_counts(state._replace(parts=evidence), request.parts, now_ms)
 
 
@@ -134,27 +160,50 @@
         return state
     evidence = evidence._replace(unconfirmed=evidence.unconfirmed.delete(upstream_id))
     recent = [b for b in broken if b.crash.ended_ms + CONFIRM_MS > now_ms]
-    for subject, crash in recent:
+    for subject, crash, _ in recent:
         evidence = with_crash(evidence, subject, crash)
     subjects = [found.subject for found in recent]
     return _with_counts(state._replace(parts=evidence), subjects, now_ms)
 
 
 def with_begun_answer(state: State, request: Request, now_ms: Millis) -> State:
-    """Acquit the parts of a request whose answer has begun."""
+    """Acquit the parts of a request of crashes before an answer begins."""
     outcome = Outcome(False, request.parts)
     evidence = with_outcome(state.parts, request.service, outcome)
-    if not request.subjects:
-        return state._replace(parts=evidence)
-    recent, begun = evidence.recent, evidence.begun
+    recent, begun = _with_times(
+        evidence, (evidence.recent, evidence.begun), request, now_ms
+    )
+    changed = begun is not evidence.begun
+    state = state._replace(parts=evidence._replace(recent=recent, begun=begun))
+    return _with_counts(state, request.subjects, now_ms) if changed else state
+
+
+def with_ended_answer(state: State, request: Request, now_ms: Millis) -> State:
+    """Acquit the subjects of a request whose answer has ended."""
+    outcome = Outcome(False, request.parts)
+    evidence = with_end_outcome(state.parts, request.service, outcome)
+    recent, ended = _with_times(
+        evidence, (evidence.recent_ends, evidence.ended), request, now_ms
+    )
+    changed = ended is not evidence.ended
+    state = state._replace(parts=evidence._replace(recent_ends=recent, ended=ended))
+    return _with_counts(state, request.subjects, now_ms) if changed else state
+
+
+def _with_times(
+    evidence: PartEvidence,
+    times: tuple[Map[str, Millis], Map[str, Millis]],
+    request: Request,
+    now_ms: Millis,
+) -> tuple[Map[str, Millis], Map[str, Millis]]:
+    """Return the latest times of all subjects, and those of suspected ones."""
+    recent, suspected = times
+    known = evidence.counts, evidence.blames, evidence.crashes
     for part in request.subjects:
         recent = recent.set(part, now_ms)
-        if part in evidence.counts or part in evidence.blames:
-            begun = begun.set(part, now_ms)
-    evidence = evidence._replace(recent=recent, begun=begun)
-    if begun is state.parts.begun:
-        return state._replace(parts=evidence)
-    return _with_counts(state._replace(parts=evidence), request.subjects, now_ms)
+        if any(part in found for found in known):
+            suspected = suspected.set(part, now_ms)
+    return recent, suspected
 
 
 def with_probe(state: State, request: Request) -> State:
@@ -183,16 +232,18 @@
     state: State, old: PartReport, new: PartReport, now_ms: Millis
 ) -> State:
     """Take over what a peer reports; it is already stored with the peer."""
-    changed = {*old.crashes, *new.crashes, *new.begun, *new.blames}
+    changed = {*old.crashes, *new.crashes, *new.begun, *new.ended, *new.blames}
     if not changed:
         return state
     evidence = state.parts
-    begun, blames = evidence.begun, evidence.blames
-    for part, begun_ms in new.begun.items():
-        begun = begun.set(part, max(begun.get(part, begun_ms), begun_ms))
+    blames = evidence.blames
     for part, blame in new.blames.items():
         blames = blames.set(part, merged_blame(blames.get(part), blame))
-    evidence = evidence._replace(begun=begun, blames=blames)
+    evidence = evidence._replace(
+        begun=_latest(evidence.begun, new.begun),
+        ended=_latest(evidence.ended, new.ended),
+        blames=blames,
+    )
     forgotten = [part for part in old.crashes if part not in new.crashes]
     if forgotten:
         lost = Map({part: old.crashes[part] for part in forgotten})
@@ -221,25 +272,68 @@
         most_recent(evidence.begun),
         in_flight,
         most_recent(evidence.blames, lambda blame: blame.seen_ms),
+        most_recent(evidence.ended),
     )
 
 
+def _latest(known: Map[str, Millis], reported: Map[str, Millis]) -> Map[str, Millis]:
+    """Return the later one of the times of each part."""
+    for part, at_ms in reported.items():
+        known = known.set(part, max(known.get(part, at_ms), at_ms))
+    return known
+
+
 def _with_counts(state: State, parts: Iterable[str], now_ms: Millis) -> State:
-    """Count the crashes of some parts again, and blame or acquit them."""
+    """Count the crashes of some parts again, and blame or acquit them.
+
+    The rarest part comes first: it is the likeliest cause, and its blame explains the
+    crashes of the other parts that were there.
+    """
     evidence = state.parts
     counts, blames = evidence.counts, evidence.blames
-    for part in parts:
-        begun_ms = evidence.begun.get(part)
-        counted = crashes_in_sequence(_crashes_of(state, part), begun_ms)
-        counts = counts.set(part, len(counted)) if counted else _without(counts, part)
+    for part in sorted({*parts, *blames}, key=lambda p: (evidence.share(p), p)):
+        begun_ms, ended_ms = evidence.begun.get(part), evidence.ended.get(part)
+        crashes = _crashes_of(state, part)
+        if any(crash.needs_end for crash in crashes):
+            begun_ms = None  # its answers begin, and still crash upstreams
+        evidence = without_disproved(evidence, part, ended_ms)
         blame = blames.get(part)
-        if blame is not None and begun_ms is not None and begun_ms >= blame.since_ms:
-            blames = blames.delete(part)
-        elif blame is None and _is_blamed(counted):
+        if blame is not None:
+            shown_ms = max(begun_ms or 0, ended_ms or 0)
+            if shown_ms >= blame.since_ms or _is_bystander(state, part, blames):
+                blames = blames.delete(part)
+        else:
+            crashes = _without_explained(state, crashes, blames)
+        counted = crashes_in_sequence(crashes, begun_ms, ended_ms)
+        counts = counts.set(part, len(counted)) if counted else _without(counts, part)
+        if blame is None and _is_blamed(counted):
             blames = blames.set(part, Blame(counted[-1].ended_ms, 0, now_ms))
     return state._replace(parts=evidence._replace(counts=counts, blames=blames))
 
 
+def _is_bystander(state: State, part: str, blames: Map[str, Blame]) -> bool:
+    """Return whether other blamed parts explain a part's crashes, and have more."""
+    others, crashes = blames.delete(part), _crashes_of(state, part)
+    if not crashes or _without_explained(state, crashes, others):
+        return False
+    return any(
+        _without_explained(state, _crashes_of(state, other), (part,))
+        for other in others
+    )
+
+
+def _without_explained(
+    state: State, crashes: tuple[Crash, ...], blamed: Iterable[str]
+) -> tuple[Crash, ...]:
+    """Return the crashes that ended apart from all crashes of blamed parts."""
+    explained = [c.ended_ms for part in blamed for c in _crashes_of(state, part)]
+    return tuple(
+        crash
+        for crash in crashes
+        if all(abs(crash.ended_ms - ended_ms) > SAME_CRASH_MS for ended_ms in explained)
+    )
+
+
 def _is_blamed(counted: tuple[Crash, ...]) -> bool:
     return (
         len(counted) >= BLAME_CRASHES
@@ -286,7 +380,10 @@
 def _own_parts_in_flight(state: State) -> frozenset[str]:
     """Return the subjects of requests in flight, or not known to have crashed yet."""
     unconfirmed = (
-        broken.subject for found in state.parts.unconfirmed.values() for broken in found
+        broken.subject
+        for found in state.parts.unconfirmed.values()
+        for broken in found
+        if broken.holds
     )
     in_flight = (
         subject
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -9,6 +9,7 @@
     with_arrived_parts,
     with_begun_answer,
     with_crashed_attempt,
+    with_ended_answer,
     with_upstream_gone,
 )
 from nutmegslip_decisions.direct._demand import with_arrival, without_attempt
@@ -174,9 +175,11 @@
     )
     if isinstance(failure, Declined) and failure.at_fault:
         state = _with_group_suspicion(state, request.upstream, now_ms)
-    crashed = isinstance(failure, Broken) and failure.closed and not request.begun
+    crashed = isinstance(failure, Broken) and failure.closed
     if crashed:
         state = with_crashed_attempt(state, request, now_ms)
+    if isinstance(failure, Errored):
+        state = with_ended_answer(state, request, now_ms)
     if _shows_rank_gone(failure):
         state = _with_group_suspicion(state, request.upstream, now_ms)
     if isinstance(failure, NotSent):
@@ -193,7 +196,7 @@
         may_have_run=request.may_have_run or may_have_executed(failure),
         streaming=event.streaming,
         begun=False,
-        met_crash=request.met_crash or crashed,
+        met_crash=request.met_crash or (crashed and not request.begun),
     )
     state = state._replace(requests=state.requests.set(request.ticket, request))
     if remaining is not None:
@@ -267,7 +270,8 @@
     stats = state.stats_of(request.upstream)._replace(failures=0)
     stats = with_connection_kept(stats, event.kept_until_ms, event.now_ms)
     upstream_stats = state.upstream_stats.set(request.upstream, stats)
-    return state._replace(loads=loads, upstream_stats=upstream_stats)
+    state = state._replace(loads=loads, upstream_stats=upstream_stats)
+    return with_ended_answer(state, request, event.now_ms)
 
 
 def _with_slot_released(state: State, request: Request, upstream_id: str) -> State:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_reports.py
@@ -79,14 +79,24 @@
         service: {group: list(pace) for group, pace in groups.items()}
         for service, groups in report.paces.items()
     }
-    later: list[dict] = []
-    if report.demand or report.slow_ranks:
-        later.append(_encode_demand(report.demand))
-    if report.slow_ranks:
-        later.append(dict(report.slow_ranks))
+    ends = _encode_ends(parts, now_ms)
+    later = [_encode_demand(report.demand), dict(report.slow_ranks), ends]
+    while later and not later[-1]:
+        later.pop()
     return cbor2.dumps([*encoded, fields, spending, limits, places, paces, *later])
 
 
+def _encode_ends(parts: PartReport, now_ms: Millis) -> list[dict]:
+    """Return which crashes only an ended answer disproves, and the ended answers."""
+    phases = {
+        part: [int(crash.needs_end) for crash in found]
+        for part, found in parts.crashes.items()
+        if any(crash.needs_end for crash in found)
+    }
+    ended = {part: now_ms - ended_ms for part, ended_ms in parts.ended.items()}
+    return [phases, ended] if phases or ended else []
+
+
 def _encode_demand(demand: Demand) -> dict[str, dict[str, dict[str, int]]]:
     """Return counts of demand by service, measure and name, in few bytes."""
     encoded: dict[str, dict[str, dict[str, int]]] = {}
@@ -111,7 +121,12 @@
         return Report(
             Map({str(key): int(count) for key, count in in_flight.items()}),
             tuple(str(peer) for peer in peers),
-            _decode_parts(*more[1], more[4] if more[4:] else {}, now_ms)
+            _decode_parts(
+                *more[1],
+                more[4] if more[4:] else {},
+                more[8] if more[8:] else ({}, {}),
+                now_ms,
+            )
             if more[1:]
             else PartReport(),
             Standing(bool(leads), bool(may_lead), int(fence)),
@@ -139,12 +154,18 @@
     in_flight: list,
     blames: dict,
     places: dict,
+    ends: list[dict],
     now_ms: Millis,
 ) -> PartReport:
+    phases, ended, *_ = ends
     return PartReport(
         Map(
             {
-                str(part): tuple(_decode_crashes(found, places.get(part, []), now_ms))
+                str(part): tuple(
+                    _decode_crashes(
+                        found, places.get(part, []), phases.get(part, []), now_ms
+                    )
+                )
                 for part, found in crashes.items()
             }
         ),
@@ -156,13 +177,17 @@
                 for part, (since, probes, seen) in blames.items()
             }
         ),
+        Map({str(part): now_ms - int(age) for part, age in ended.items()}),
     )
 
 
-def _decode_crashes(found: list, places: list, now_ms: Millis) -> Iterator[Crash]:
-    for (sent, ended, *shares), place in zip_longest(found, places, fillvalue=0):
+def _decode_crashes(
+    found: list, places: list, phases: list, now_ms: Millis
+) -> Iterator[Crash]:
+    fields = zip_longest(found, places, phases, fillvalue=0)
+    for (sent, ended, *shares), place, needs_end in fields:
         crash = Crash(now_ms - int(sent), now_ms - int(ended), *map(float, shares))
-        yield crash._replace(place=int(place))
+        yield crash._replace(place=int(place), needs_end=bool(needs_end))
 
 
 def _decode_spending(
--- a/tests/crash_parts_world.py
+++ b/tests/crash_parts_world.py
@@ -39,11 +39,15 @@
     request: object
     upstream: object
     sent_ms: int
+    crash_ms: int
     begun: bool = False
 
 
 class Load(NamedTuple):
-    """Rates for each entry and second; ``bad_from_ms`` is when bad prompts begin."""
+    """Rates for each entry and second; ``bad_from_ms`` is when bad prompts begin.
+
+    ``crash_ms`` is how long after it was sent such a prompt crashes its rank.
+    """
 
     sound_per_s: float = 10.0
     bad_per_s: float = 0.7
@@ -51,6 +55,7 @@
     restarts_per_s: float = 0.0
     report_loss: float = 0.1
     bad_from_ms: int = 5_000
+    crash_ms: tuple[int, int] = (BEGIN_MS, BEGIN_MS)
     length_ms: int = 40_000
 
 
@@ -76,6 +81,7 @@
         self.attempts: list[Attempt] = []
         self.due: list[tuple[int, object]] = []
         self.broken_groups: set[str] = set()
+        self.crashed: set[str] = set()
         self.bad_crashes_ms: list[int] = []
         self.bad_sends_ms: list[int] = []
         self.begun_first = Counter()
@@ -152,7 +158,8 @@
         for effect in effects:
             match effect:
                 case Send(request, to):
-                    sent = Attempt(number, request, to, self.now_ms)
+                    crash_ms = self.now_ms + self._crash_delay_ms()
+                    sent = Attempt(number, request, to, self.now_ms, crash_ms)
                     self.attempts.append(sent)
                     if BAD_PART in request.parts:
                         self.bad_sends_ms.append(self.now_ms)
@@ -176,17 +183,21 @@
                 self.broken_groups
             ):
                 continue
-            if age_ms >= BEGIN_MS and not attempt.begun:
-                if BAD_PART in attempt.request.parts:
-                    self.bad_crashes_ms.append(self.now_ms)
-                    self._crash(attempt.upstream.id)
-                    continue
+            is_bad = BAD_PART in attempt.request.parts
+            if is_bad and attempt.crash_ms <= self.now_ms:
+                self.bad_crashes_ms.append(self.now_ms)
+                self._crash(attempt.upstream.id)
+            elif age_ms >= BEGIN_MS and not attempt.begun:
                 self._begin(attempt)
             elif age_ms >= ANSWER_MS:
                 self.attempts.remove(attempt)
                 ended = RequestEnded(self.now_ms, attempt.request.ticket, True)
                 self._take(attempt.entry, ended)
 
+    def _crash_delay_ms(self) -> int:
+        low, high = self.load.crash_ms
+        return low if low == high else self.random.randint(low, high)
+
     def _begin(self, attempt: Attempt) -> None:
         index = self.attempts.index(attempt)
         self.attempts[index] = attempt._replace(begun=True)
@@ -200,6 +211,7 @@
         """Crash a rank: its attempts break at once, those of its group later."""
         group = self.ranks[name].group
         self.broken_groups.add(group)
+        self.crashed.add(name)
         for attempt in list(self.attempts):
             if attempt.upstream.id == name:
                 self._fail(attempt, Broken("reset", closed=True))
@@ -235,8 +247,11 @@
             if rank.group != group:
                 continue
             epoch = rank.rank.epoch + is_open
+            reborn = is_open and name in self.crashed
+            self.crashed -= {name} if reborn else set()
             self.ranks[name] = rank._replace(
-                rank=rank.rank._replace(epoch=epoch, is_open=is_open)
+                rank=rank.rank._replace(epoch=epoch, is_open=is_open),
+                born_ms=rank.born_ms + reborn,
             )
             for number in range(len(self.entries)):
                 event = UpstreamPublished(self.now_ms, self.ranks[name])
--- a/tests/crash_requests_world.py
+++ b/tests/crash_requests_world.py
@@ -33,7 +33,8 @@
 class Load(NamedTuple):
     """Rates for each entry and second; ``bad`` is how many requests crash upstreams.
 
-    ``crash_ms`` is for how long such a request runs. Of the sound ones ``hot_share``
+    ``crash_ms`` is for how long such a request runs; its answer begins before with
+    ``begun_share``. Of the sound ones ``hot_share``
     are the same request. Attempts break with ``broken_share`` whatever they ask for.
     """
 
@@ -42,6 +43,7 @@
     bad: int = 1
     path: str = "/lookups/1"
     crash_ms: tuple[int, int] = (25, 100)
+    begun_share: float = 0.0
     hot_share: float = 0.2
     broken_share: float = 0.0
     restarts_per_s: float = 0.0
@@ -212,6 +214,9 @@
                 continue
             if attempt.crash_ms is not None:
                 if attempt.crash_ms <= self.now_ms:
+                    if self.random.random() < self.load.begun_share:
+                        started = ResponseStarted(self.now_ms, attempt.request.ticket)
+                        self._take(attempt.entry, started)
                     self.crashes_ms.setdefault(attempt.name, []).append(self.now_ms)
                     self._crash(attempt.upstream.id)
             elif attempt.sent_ms + ANSWER_MS <= self.now_ms:
--- a/tests/test_direct_crash_parts.py
+++ b/tests/test_direct_crash_parts.py
@@ -436,6 +436,18 @@
             after = fleet.begun_share(part, settled_ms, fleet.load.length_ms)
             self.assertGreater(after, before / 2)
 
+    def test_a_part_that_crashes_ranks_at_any_moment_is_found(self):
+        """Guard against a moment of the crash that escapes, from connect to end."""
+        cases = (("early", (0, 35)), ("after the start", (200, 480)), ("any", (0, 480)))
+        for name, crash_ms in cases:
+            for seed in (1, 2, 3):
+                with self.subTest(name, seed=seed):
+                    fleet = Fleet(seed, Load(crash_ms=crash_ms, length_ms=60_000))
+                    fleet.run()
+                    self.assertGreaterEqual(len(fleet.bad_crashes_ms), 4)
+                    self.assertLessEqual(fleet.late_bad_sends, 3)
+                    self.assertEqual(fleet.false_refusals, 0)
+
     def test_host_crashes_alone_blame_no_part(self):
         for seed in range(8):
             with self.subTest(seed=seed):
--- a/tests/test_direct_crash_requests.py
+++ b/tests/test_direct_crash_requests.py
@@ -67,6 +67,19 @@
     def test_beside_many_entries(self):
         self._play(Load(sound_per_s=2.0, bad_per_s=0.2), entries=12, seeds=(1, 2))
 
+    def test_one_that_crashes_them_after_its_answer_began(self):
+        """Guard against evidence that counts only until an answer begins."""
+        for path in ("/lookups/1", "/pushes/1", "/verses/1"):
+            for share in (0.5, 1.0):
+                with self.subTest(path=path, share=share):
+                    load = Load(path=path, bad_per_s=1.0, begun_share=share)
+                    self._play(load, seeds=SEEDS[:2])
+
+    def test_one_that_crashes_them_at_any_moment(self):
+        """Guard against a moment of the crash that escapes, from connect to end."""
+        load = Load(bad_per_s=1.0, crash_ms=(0, 400), begun_share=0.7)
+        self._play(load)
+
     def test_while_entries_restart(self):
         self._play(Load(restarts_per_s=0.1))
 
