Believe no answer without an id on a connection in use again

Cause: an answer without an id was refused on a used connection, unless it said that the request was not run. Ruled out: a second refusal of the same request (it goes to an upstream once), unread bytes at the time of sending.

Fix: no such answer is believed; every request that may not be sent again has a connection of its own, streams that may not be resumed too.

--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -162,6 +162,8 @@
         expected = request.header(EXPECTED_INSTANCE)
         own = expected in (None, self.name.encode())
         request_id = (request.header(REQUEST_ID.lower()) or b"").decode()
+        echo = (REQUEST_ID, request_id.encode())
+        refusal = [NOT_EXECUTED, echo]
         pause_ms = 0
         if self.fault is Fault.PAUSE and own:
             pause_ms = int(float(self.pause) * 1_000)
@@ -177,17 +179,18 @@
             )
         )
         if pause_ms:
-            headers = [NOT_EXECUTED, (b"Retry-After", self.pause)]
+            headers = [*refusal, (b"Retry-After", self.pause)]
             sock.sendall(encode_head(503, headers + self._notice_headers(), length=0))
         elif self.fault is Fault.SHED:
-            headers = [NOT_EXECUTED, *self._notice_headers()]
+            headers = [*refusal, *self._notice_headers()]
             sock.sendall(encode_head(503, headers, length=0))
         elif self.fault is Fault.STALLED_SHED and own:
-            sock.sendall(encode_head(503, [NOT_EXECUTED], length=9))
+            sock.sendall(encode_head(503, refusal, length=9))
         elif self.fault is Fault.ENDLESS_SHED and own:
             self._send_without_end(sock, request)
         elif self.fault is Fault.MISDIRECTED or not own:
-            sock.sendall(encode_head(421, self._notice_headers(), length=0))
+            headers = [echo, *self._notice_headers()]
+            sock.sendall(encode_head(421, headers, length=0))
         else:
             self._run(sock, request)
 
@@ -249,7 +252,10 @@
                 encode_chunk(b"z" * CHUNK_BYTES),
             ),
             Fault.ENDLESS_OTHERS: (b"", encode_head(200, other, length=4) + b"late"),
-            Fault.ENDLESS_SHED: (encode_head(503, [NOT_EXECUTED], close=True), b"z"),
+            Fault.ENDLESS_SHED: (
+                encode_head(503, [NOT_EXECUTED, own[0]], close=True),
+                b"z",
+            ),
         }[self.fault]
         block = repeated * (BLOCK_BYTES // len(repeated))
         sock.sendall(start)
@@ -276,6 +282,9 @@
             case Fault.COPY_LATE:
                 sock.sendall(self._copies.pop(sock, b"") + response)
                 self._copies[sock] = encode_head(200, headers[1:], length=4) + b"late"
+            case Fault.SHED_LATE:
+                sock.sendall(self._copies.pop(sock, b"") + response)
+                self._copies[sock] = encode_head(503, [NOT_EXECUTED], length=0)
             case Fault.TWICE:
                 sock.sendall(response + response)
             case Fault.OTHER_FIRST:
@@ -299,7 +308,7 @@
         head = encode_head(
             200, stream_headers, chunked=not ends_by_close, close=ends_by_close
         )
-        sock.sendall(head)
+        sock.sendall(self._copies.pop(sock, b"") + head)
         after = int(request.header(b"last-event-id") or 0)
         for number in range(after + 1, self.events + 1):
             gevent.sleep(SLOW_INTERVAL_S if self.fault is Fault.SLOW else self.pause_s)
@@ -316,6 +325,8 @@
         if ends_by_close:
             raise OSError("the close ends the response")
         sock.sendall(LAST_CHUNK)
+        if self.fault is Fault.SHED_LATE:
+            self._copies[sock] = encode_head(503, [NOT_EXECUTED], length=0)
 
     def _break_off(
         self, sock: socket.socket, event: bytes, encode: Callable[[bytes], bytes]
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -20,7 +20,6 @@
     Request,
     RequestArrived,
     RequestEnded,
-    RequestKind,
     ResponseStarted,
     Send,
     Upstream,
@@ -191,11 +190,11 @@
 
     def _attempt(self, request: Request, upstream: Upstream) -> Failure | None:
         """Send to one upstream and forward its answer; return the failure, if any."""
-        route = request.route
-        fresh = route.kind is RequestKind.NON_IDEMPOTENT
         self.kept_until_ms = 0
         try:
-            connection = self._pool.acquire(upstream, request.deadline_ms, fresh=fresh)
+            connection = self._pool.acquire(
+                upstream, request.deadline_ms, fresh=not request.route.repeatable
+            )
         except NotConnected as error:
             return _not_sent(error)
         answer_read = False
@@ -375,7 +374,7 @@
         """Return the answer to this request; skip late answers to earlier requests.
 
         On a connection that was used before, an answer without an id may be a late
-        copy of an earlier one; rejections may come without an id.
+        copy of an earlier one; a rejection too, so it does not show what was not run.
         """
         head_only = self._http_request.method == b"HEAD"
         for _ in range(MAX_OTHER_ANSWERS + 1):
@@ -384,8 +383,7 @@
             own = fields.request_id == request.request_id
             sent_ms = request.sent_at_ms if own else None
             self._machine.record_answer(upstream, fields, sent_ms)
-            named = fields.request_id is not None or fields.not_run
-            if connection.was_used and not named:
+            if connection.was_used and fields.request_id is None:
                 raise ConnectionBroken("an answer without an id on a used connection")
             if fields.request_id in (None, request.request_id):
                 return answer, fields
--- a/tests/test_direct_failures.py
+++ b/tests/test_direct_failures.py
@@ -13,12 +13,13 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from bench.direct_site import make_configuration, make_route
 from bench.entry_process import ANSWER_TIMEOUT_MS
 from fakes.runners import ENDLESS, Fault
 from nutmegslip_entry.direct import Program, accept_waiting
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import encode_request, send_all
-from tests.test_direct_processes import DirectTestCase
+from tests.test_direct_processes import SETTLE_S, DirectTestCase
 
 LEAVE_ROTATION_S = 2.6  # after a stop signal new connections are still accepted
 TIMEOUT_MS = 3_000  # of the routes
@@ -93,6 +94,36 @@
                     self.assertEqual(reply.body, f"answer to {name}".encode())
 
 
+class LateRefusalTests(DirectTestCase):
+    """A late refusal that names no request must not be taken for the next answer.
+
+    The request runs, and was sent again elsewhere or reported as not run.
+    """
+
+    def setUp(self):
+        super().setUp()
+        kinds = (("lookups", "board", "idempotent"), ("verses", "model", "streaming"))
+        routes = [make_route(*kind, attempts=2) for kind in kinds]
+        self.site.publish(make_configuration(4, *routes))
+        gevent.sleep(SETTLE_S)
+        self.fail_all(Fault.SHED_LATE)
+
+    def test_a_stream_that_may_not_be_resumed_runs_once(self):
+        for number in range(12):
+            name = f"once-{number}"
+            reply = self.site.send("/verses/1", method="POST", request_id=name)
+            with self.subTest(number=number):
+                found = (reply.status, self.runs(name), reply.complete)
+                self.assertEqual(found, (200, 1, True))
+
+    def test_a_request_that_ran_is_not_reported_as_not_run(self):
+        for number in range(12):
+            name = f"ran-{number}"
+            reply = self.site.send("/lookups/1", request_id=name)
+            with self.subTest(number=number, runs=self.runs(name)):
+                self.assertIn(reply.status, (200, 502))
+
+
 class StreamTimerTests(DirectTestCase):
     """Slow but sound streams end whole; stalled ones end at the deadline."""
 
