Let only the rest of a stream follow a stream that has begun

Seen by callers of another operator: the head and text of an error in the middle of a stream. Here a sealed answer that is no stream (200 of another type, 204), given to the attempt that was to resume a stream, was forwarded with its head.

Cause: what may follow was decided by the status alone. Ruled out: error statuses and refusals, which were broken attempts already.

Fix: anything but a stream is a broken attempt once one has begun; the first id of a resumed stream must follow the last one; a stream goes on elsewhere only after an event with an id that fits a header.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
@@ -4,19 +4,28 @@
 so that another upstream can resume after the last one.
 """
 
+import re
+
 EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+# An id is sent in a header, and compared as a number where it is one.
+EVENT_ID = re.compile(rb"^id: ?([!-~]{1,64})[ \t]*$", re.MULTILINE)
+COMMENTS = re.compile(rb"(?::.*\n)*\n*")
 MAX_EVENT_BYTES = 1_048_576
 
 
 class EventSplitter:
     """A buffer for the incomplete end of a stream; ``last_id`` is empty at first.
 
+    ``may_resume`` is whether another upstream can go on after the events so far, so
+    whether the last one has an id. ``is_repeated`` is whether one went on too early.
     Each byte is copied and searched once, however small the pieces are.
     """
 
     def __init__(self) -> None:
         self.last_id = ""
+        self.may_resume = True
+        self.is_repeated = False
+        self._resumed_after = ""
         self._partial = bytearray()
 
     @property
@@ -44,17 +53,30 @@
         end += len(EVENT_END)
         complete = bytes(self._partial[:end])
         del self._partial[:end]
-        self._remember_last_id(complete)
+        self._record_ids(complete)
         return complete
 
     def restart(self) -> None:
         """Drop the incomplete event; the next upstream sends it again."""
         self._partial.clear()
+        self._resumed_after = self.last_id
+        self.is_repeated = False
 
-    def _remember_last_id(self, complete: bytes) -> None:
-        start = complete.rfind(b"\n" + ID_FIELD)
-        start = start + 1 if start >= 0 else 0 if complete.startswith(ID_FIELD) else -1
-        if start < 0:
+    def _record_ids(self, complete: bytes) -> None:
+        ids = EVENT_ID.findall(complete)
+        if ids and self._resumed_after:
+            self.is_repeated = not _is_after(ids[0].decode(), self._resumed_after)
+            self._resumed_after = ""
+        if self.is_repeated or COMMENTS.fullmatch(complete):
             return
-        line = complete[start + len(ID_FIELD) :].split(b"\n", 1)[0]
-        self.last_id = line.strip().decode("latin-1")
+        last = complete.rstrip(b"\n").rpartition(EVENT_END)[2]
+        self.may_resume = EVENT_ID.search(last) is not None
+        if ids:
+            self.last_id = ids[-1].decode()
+
+
+def _is_after(event_id: str, earlier: str) -> bool:
+    """Return whether an id follows another one; ids increase where they are numbers."""
+    if event_id.isdigit() and earlier.isdigit():
+        return int(event_id) > int(earlier)
+    return event_id != earlier
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -238,7 +238,8 @@
 class AttemptFailed:
     """An attempt failed.
 
-    ``streaming`` is whether part of a stream was already sent to the caller.
+    ``streaming`` is whether part of a stream was already sent to the caller, and
+    ``may_resume`` whether another upstream can go on after it.
     ``upstream`` is the id of its upstream, empty for the only attempt.
     """
 
@@ -247,6 +248,7 @@
     failure: Failure
     streaming: bool = False
     upstream: str = ""
+    may_resume: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -201,7 +201,7 @@
     state = state._replace(requests=state.requests.set(request.ticket, request))
     if remaining is not None:
         return dispatch(state, request.service, now_ms)
-    repeat = not (crashed and is_suspected(state, request))
+    repeat = event.may_resume and not (crashed and is_suspected(state, request))
     if repeat and may_retry(state, request, failure, now_ms):
         state, effects = _repeat(state, request, failure, left, now_ms)
     elif isinstance(failure, Errored):
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -158,6 +158,7 @@
                         failure,
                         streaming=self._caller.streaming,
                         upstream=upstream.id,
+                        may_resume=self._events.may_resume,
                     )
                     step = machine.dispatch_and_wait(request.ticket, failed)
                 case Refuse():
@@ -256,12 +257,10 @@
         if fields.not_run:
             unread = self._skip_rejection_body(connection, request)
             return Declined(fields.misdirected, fields.at_fault, unread)
-        if answer.status in SUCCESS_STATUSES:
-            if not fields.sealed or answer.header(b"content-encoding"):
-                raise ConnectionBroken(
-                    "the success answer is unsealed or content-encoded"
-                )
-        elif self._caller.streaming:
+        is_sound = fields.sealed and not answer.header(b"content-encoding")
+        if answer.status in SUCCESS_STATUSES and not is_sound:
+            raise ConnectionBroken("the success answer is unsealed or content-encoded")
+        if self._caller.streaming and not _is_stream(answer):
             raise ConnectionBroken("the stream could not be resumed")
         return answer
 
@@ -409,6 +408,8 @@
             events = self._events.feed(data)
             if self._events.is_too_long:
                 raise ConnectionBroken("an event of the stream is too long")
+            if self._events.is_repeated:
+                raise ConnectionBroken("the stream was resumed at an earlier event")
             if events:
                 now_ms = self._machine.clock()
                 if last_ms:
@@ -417,7 +418,9 @@
                     self._machine.dispatch(ResponseStarted(now_ms, request.ticket))
                 last_ms = now_ms
                 self._caller.stream(answer, events, self._http_request.version)
-                if should_move(self._machine.state, request.ticket, now_ms):
+                if self._events.may_resume and should_move(
+                    self._machine.state, request.ticket, now_ms
+                ):
                     return Moved()
         self._end_stream(answer)
         return None
