Close all routes but public ones when a version leaves no account

Cause: the decoder took an empty list for a missing field, without which no route needs a key. A version with the field absent or null stays open, as before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_configuration_check.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_configuration_check.py
@@ -73,6 +73,7 @@
         chain.from_iterable(_service_findings(service) for service in draft.services),
         _engine_findings(draft.configuration),
         _account_findings(draft.accounts),
+        _closed_findings(draft.configuration),
     )
     return tuple(sorted(found, key=lambda f: f.severity is not Severity.ERROR))
 
@@ -265,6 +266,12 @@
         yield _warning(f"account {name}", "name", message)
 
 
+def _closed_findings(configuration: Configuration) -> Iterator[Finding]:
+    if configuration.accounts is not None and not configuration.accounts:
+        message = "holds no key, so all routes but public ones are closed; add a key"
+        yield _warning("configuration", "accounts", message)
+
+
 def _repeated(names: Iterable[str]) -> list[str]:
     return sorted(name for name, times in Counter(names).items() if times > 1)
 
--- a/tests/test_direct_processes.py
+++ b/tests/test_direct_processes.py
@@ -73,6 +73,24 @@
             with self.subTest(target=target):
                 self.assertEqual(self.site.send(target, key=key).status, status)
 
+    def test_without_any_account_left_routes_are_closed(self):
+        """Guard against an empty list of accounts that opens every route."""
+        for version, tenants in ((4, []), (5, [{"name": "parish", "apiKeys": []}])):
+            self.site.publish(make_configuration(version, tenants=tenants))
+            gevent.sleep(SETTLE_S)
+            for target, key, status in (
+                ("/lookups/1", API_KEY, 401),
+                ("/lookups/1", None, 401),
+                ("/open/1", None, 200),
+            ):
+                with self.subTest(tenants=tenants, target=target, key=key):
+                    self.assertEqual(self.site.send(target, key=key).status, status)
+        without = make_configuration(6)
+        del without["tenants"]
+        self.site.publish(without)
+        gevent.sleep(SETTLE_S)
+        self.assertEqual(self.site.send("/lookups/1", key=None).status, 200)
+
     def test_malformed_requests_are_refused_and_not_forwarded(self):
         head = b"POST /lookups/1 HTTP/1.1\r\nHost: hymns.example\r\n"
         cases = (
