Follow the store in time after a lost answer and over a slow link

Cause: a watch of 3 s and a time-out of 1 s are over the 3 s after which a process counts as in touch; a call whose answer takes over a second was begun again from the same revision. Ruled out: the decoder, which got nothing.

Metrics show the revision in force and its age.

Tests: SlowLinkTests and one of FeedTests, three failed before.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -48,6 +48,16 @@
         self._store_calls = Gauge(
             "nutmegslip_store_calls", "Calls to the store.", registry=self.registry
         )
+        self._store_revision = Gauge(
+            "nutmegslip_store_revision",
+            "The store's revision up to which all changes are in force.",
+            registry=self.registry,
+        )
+        self._store_age_seconds = Gauge(
+            "nutmegslip_store_age_seconds",
+            "Time since the store last answered.",
+            registry=self.registry,
+        )
         self._version = Gauge(
             "nutmegslip_version_in_force",
             "The version in force.",
@@ -133,6 +143,11 @@
         """Record the longest turn of the last second."""
         self._longest_turn_seconds.set(milliseconds / 1_000)
 
+    def update_store(self, revision: int, age_ms: int) -> None:
+        """Set the position of what is in force, and its age."""
+        self._store_revision.set(revision)
+        self._store_age_seconds.set(age_ms / 1_000)
+
     def update_pool(self, pool: Pool) -> None:
         """Set the gauges of connections to upstreams and of what is read from them."""
         self._connections.labels("opened").set(pool.opened)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -60,6 +60,7 @@
 
     calls: int
     position: StorePosition
+    answered_ms: int
 
     def run(self) -> None:
         """Read and watch until killed."""
@@ -221,6 +222,9 @@
         self._metrics.update_gauges(
             self._machine.state, self._feed.calls, boottime_ms()
         )
+        self._metrics.update_store(
+            self._feed.position.revision, boottime_ms() - self._feed.answered_ms
+        )
         self._metrics.update_pool(self._pool)
         caller.answer(
             200, [METRICS_CONTENT_TYPE], generate_latest(self._metrics.registry)
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
@@ -1,6 +1,7 @@
 """Read and write HTTP/1.1 over gevent sockets; httptools parses it."""
 
 from nutmegslip_runtime.http1._connection import (
+    BodyTooLong,
     ClientConnection,
     ConnectionBroken,
     ConnectionClosed,
@@ -32,6 +33,7 @@
 
 __all__ = [
     "LAST_CHUNK",
+    "BodyTooLong",
     "ClientConnection",
     "ConnectionBroken",
     "ConnectionClosed",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -40,6 +40,10 @@
     """The server closed or reset the connection; the request may have run."""
 
 
+class BodyTooLong(ConnectionBroken):
+    """The body is longer than the caller wants to read; the request may have run."""
+
+
 class ConnectionTimedOut(ConnectionBroken):
     """A send or read timed out; the request may have run."""
 
@@ -175,21 +179,33 @@
                 raise ConnectionBroken("a response began within another")
 
     def read_whole_body(
-        self, deadline_ms: int, *, max_bytes: int = MAX_BODY_BYTES
+        self,
+        deadline_ms: int,
+        *,
+        max_bytes: int = MAX_BODY_BYTES,
+        stall_ms: int | None = None,
     ) -> bytes:
-        """Return the rest of the body; raise ConnectionBroken if it is too long.
+        """Return the rest of the body; raise BodyTooLong beyond ``max_bytes``.
 
-        It is also too long if the process holds too many bytes of bodies.
+        Raise ConnectionBroken if the process holds too many bytes of bodies. With
+        ``stall_ms`` each piece must follow within it, by the deadline at the latest.
         """
         with self._held_bodies.hold() as body:
-            while piece := self.read_body(deadline_ms):
+            while piece := self.read_body(
+                self._piece_deadline_ms(deadline_ms, stall_ms)
+            ):
                 body.append(piece)
                 if body.length > max_bytes:
-                    raise ConnectionBroken(f"the body exceeds {max_bytes} bytes")
+                    raise BodyTooLong(f"the body exceeds {max_bytes} bytes")
                 if body.is_over_share:
                     raise ConnectionBroken("the process holds too many long bodies")
             return body.content()
 
+    def _piece_deadline_ms(self, deadline_ms: int, stall_ms: int | None) -> int:
+        if stall_ms is None:
+            return deadline_ms
+        return min(deadline_ms, self._clock() + stall_ms)
+
     def exchange(self, request: bytes, deadline_ms: int) -> tuple[ResponseHead, bytes]:
         """Send a request; return the head and the complete body of its response.
 
--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -1,11 +1,13 @@
 """Test what an entry does when the store comes back from an older copy."""
 
+import json
 import unittest
 from types import SimpleNamespace
 from unittest import mock
 
 import gevent
-from nutmegslip_platform import _store
+from gevent.server import StreamServer
+from nutmegslip_platform import _feed, _store
 from nutmegslip_platform._feed import StoreFeed
 
 from fakes.runners import Runner
@@ -16,6 +18,7 @@
     Refuse,
     RequestEnded,
     Send,
+    StoreLost,
     StorePosition,
     StoreReached,
     StoreRestored,
@@ -27,6 +30,8 @@
     judge,
 )
 from nutmegslip_decisions.direct._restored import REWRITE_MS
+from nutmegslip_runtime.clock import boottime_ms
+from nutmegslip_runtime.http1 import _connection, encode_head
 from tests.direct_world import World, configuration, upstream
 
 AT = StorePosition(3, 100)
@@ -312,6 +317,23 @@
         self._wait_for(lambda: [e for e in self.events if type(e) is UpstreamPublished])
         self.assertEqual(self._restores(), [])
 
+    def test_changes_that_are_too_long_for_one_answer_are_listed(self):
+        """Guard against a process that never catches up with what it has missed."""
+        self._start()
+        self._wait_for(self._listings)
+        with mock.patch.object(
+            _connection.ClientConnection.read_whole_body,
+            "__kwdefaults__",
+            {"max_bytes": 20_000, "stall_ms": None},
+        ):
+            self.store.down = True
+            self._wait_for(lambda: any(type(e) is StoreLost for e in self.events))
+            for number in range(120):
+                self._put(f"late{number}")
+            self.store.down = False
+            self._wait_for(lambda: len(self._listings()) > 1)
+        self.assertEqual(len(self._listings()[1].upstreams), 180)
+
     def test_a_store_without_eras_may_forget_its_revisions(self):
         with mock.patch.object(_store, "ERA", b"x-not-there"):
             copy = self.store.history.copy()
@@ -323,5 +345,38 @@
         self.assertEqual(self._restores(), [])
 
 
+class SlowLinkTests(unittest.TestCase):
+    """Guard against calls that are given up while their answer arrives, or too late."""
+
+    STABILITY_WINDOW_MS = 3_000  # the platform's, after which a process is in touch
+
+    def setUp(self):
+        self.calls = []
+        server = StreamServer(("127.0.0.1", 0), self._serve)
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        self.client = _store.StoreClient(f"127.0.0.1:{server.server_port}", boottime_ms)
+
+    def _serve(self, sock, _peer):
+        while request := sock.recv(65_536):
+            self.calls.append(request.split(b" ")[1])
+            item = {"key": "op/none", "revision": 7, "value": "x" * 2_000}
+            answer = {"items": [item], "hasMore": False, "currentRev": 7}
+            body = json.dumps(answer).encode()
+            sock.sendall(encode_head(200, [], length=len(body)))
+            for start in range(0, len(body), 200):
+                gevent.sleep(0.15)
+                sock.sendall(body[start : start + 200])
+
+    def test_an_answer_that_keeps_arriving_is_read_to_its_end(self):
+        listed = self.client.list_items()
+        self.assertEqual((listed.ok.revision, len(self.calls)), (7, 1))
+
+    def test_a_lost_answer_is_noticed_before_the_process_is_in_touch_again(self):
+        noticed_ms = _feed.WATCH_WAIT_MS + _store.ANSWER_TIMEOUT_MS
+        listed_ms = 1_000 * _feed.RETRY_DELAY_S
+        self.assertLess(noticed_ms + listed_ms, self.STABILITY_WINDOW_MS)
+
+
 if __name__ == "__main__":
     unittest.main()
