Write the log from a thread, with a bounded buffer

Cause: buffered lines were written once a second by a blocking write in the only thread. Ruled out: the cost of formatting, as the processor time did not grow meanwhile.

Fix: a thread of the operating system writes; 4 MiB wait at most, the rest is dropped, counted in a metric and logged once the log is read again. A stop waits 0.3 s for the last lines, so it ends in time beside a reader that stands.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -35,6 +35,11 @@
             "Longest time in the last second in which one greenlet ran alone.",
             registry=self.registry,
         )
+        self._dropped_lines = Gauge(
+            "nutmegslip_dropped_log_lines",
+            "Log lines dropped since the start, as the log was not read.",
+            registry=self.registry,
+        )
         self._in_flight = Gauge(
             "nutmegslip_requests_in_hand",
             "Requests without a final answer.",
@@ -148,6 +153,10 @@
         self._store_revision.set(revision)
         self._store_age_seconds.set(age_ms / 1_000)
 
+    def update_dropped_lines(self, count: int) -> None:
+        """Set how many log lines were dropped."""
+        self._dropped_lines.set(count)
+
     def update_pool(self, pool: Pool) -> None:
         """Set the gauges of connections to upstreams and of what is read from them."""
         self._connections.labels("opened").set(pool.opened)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -3,6 +3,7 @@
 import os
 import secrets
 import signal
+import sys
 from collections.abc import Callable
 from itertools import count
 from typing import Protocol
@@ -39,7 +40,7 @@
 from nutmegslip_entry.direct._state_machine import StateMachine
 from nutmegslip_entry.direct._watchdog import Watchdog
 from nutmegslip_runtime.clock import boottime_ms
-from nutmegslip_runtime.eventlog import RateLimitedLog, make_log
+from nutmegslip_runtime.eventlog import BoundedStream, RateLimitedLog, make_log
 from nutmegslip_runtime.exits import ExitCode
 from nutmegslip_runtime.http1 import HttpRequest
 
@@ -50,6 +51,7 @@
 TASK_RESTART_DELAY_S = 0.25
 PROCESS_ID_COUNT = 2**32
 LISTEN_BACKLOG = 512
+LAST_LINES_TIMEOUT_S = 0.3  # within the stop margin
 LEAVE_ROTATION_MS = 2_500  # balancers probe each second and remove after two failures
 STOP_MARGIN_MS = 500  # subtracted from the grace period, to exit before a kill
 METRICS_CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
@@ -89,10 +91,16 @@
         self._file = file
         self._file_modified_ns = _modified_ns(file)
         self._settings = settings
+        self._log_stream = BoundedStream(sys.stdout.fileno())
         log = make_log(
-            settings.log_level, settings.host, settings.zone, process="nutmegslip-entry"
+            settings.log_level,
+            settings.host,
+            settings.zone,
+            self._log_stream,
+            process="nutmegslip-entry",
         )
         self._log = RateLimitedLog(log)
+        self._dropped_lines = 0
         self._metrics = Metrics()
         self._watchdog = Watchdog()
         self._machine = StateMachine(
@@ -168,6 +176,7 @@
         self._watchdog.stop()
         gevent.killall(tasks)
         self._log.flush()
+        self._log_stream.finish(LAST_LINES_TIMEOUT_S)
         return code
 
     def _run_again_on_errors(self, task: Callable[[], None]) -> None:
@@ -245,6 +254,7 @@
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
             self._pool.close_expired()
             self._report_longest_turn()
+            self._report_dropped_lines()
             self._log.end_second()
             self._log.flush()
             if _modified_ns(self._file) != self._file_modified_ns:
@@ -256,6 +266,14 @@
         if turn.took_ms >= LONG_TURN_MS:
             self._log.emit("event-loop-blocked", **turn._asdict())
 
+    def _report_dropped_lines(self) -> None:
+        """Log how many lines were dropped, once the log is read again."""
+        dropped = self._log_stream.dropped
+        self._metrics.update_dropped_lines(dropped)
+        if dropped > self._dropped_lines and not self._log_stream.is_stalled:
+            self._log.emit("log-lines-dropped", count=dropped - self._dropped_lines)
+            self._dropped_lines = dropped
+
     def _reload(self) -> None:
         self._file_modified_ns = _modified_ns(self._file)
         read = read_settings(self._file)
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -357,6 +357,14 @@
         "host. Otherwise report it as a bug, with what 'ran'.",
         ("took_ms", "ran", "cpu_ms"),
     ),
+    EventKind(
+        2049,
+        "log-lines-dropped",
+        Level.WARNING,
+        "Log lines were dropped, as what reads the log stood still.",
+        "Look at the reader of the log.",
+        ("count",),
+    ),
     EventKind(
         2101,
         "request-sent",
