Reset a connection that is given up without an answer

Cause: an orderly close leaves unsent bytes to the kernel, which sends them later. Ruled out: a late send of the entry, whose log has none.

Fix: SO_LINGER 0 if nothing has arrived since the last request.

Test: one, failed before (all 3 MB arrived).

--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -1,5 +1,6 @@
 """Send requests and read responses over one connection to a server."""
 
+import contextlib
 import re
 import socket
 from collections import deque
@@ -12,7 +13,11 @@
 
 from nutmegslip_runtime.http1._encoding import Framing, Header
 from nutmegslip_runtime.http1._held_bodies import HeldBodies
-from nutmegslip_runtime.http1._sockets import configure_socket, send_all
+from nutmegslip_runtime.http1._sockets import (
+    configure_socket,
+    reset_on_close,
+    send_all,
+)
 
 READ_BYTES = 16_384  # parsed in one turn, in pieces as small as the server likes
 MAX_HEAD_BYTES = 65_536  # also of what stands between two pieces of a body
@@ -92,6 +97,7 @@
         self._unparsed_bytes = 0
         self._unyielded_bytes = 0
         self._received_ms = 0
+        self._is_unanswered = False
         self._idle_timeout_ms: int | None = None
         self.idle_until_ms = 0
 
@@ -145,6 +151,7 @@
 
     def send(self, data: bytes, stall_timeout_s: float) -> None:
         """Send a request; raise ConnectionBroken if it cannot be sent completely."""
+        self._is_unanswered = True
         try:
             send_all(self._socket, data, stall_timeout_s)
         except TimeoutError as error:
@@ -215,7 +222,14 @@
         return self.read_head(deadline_ms), self.read_whole_body(deadline_ms)
 
     def close(self) -> None:
-        """Close the connection immediately."""
+        """Close the connection immediately.
+
+        If nothing has arrived since the last request, the connection is reset: the
+        kernel would go on sending what is left of the request, also seconds later.
+        """
+        if self._is_unanswered:
+            with contextlib.suppress(OSError):  # already closed
+                reset_on_close(self._socket)
         self._socket.close()
 
     def _next(self, deadline_ms: int) -> "ResponseHead | bytearray | _EndOfBody":
@@ -233,6 +247,7 @@
             except OSError as error:
                 raise ConnectionClosed(str(error)) from error
             self._received_ms = self._clock()
+            self._is_unanswered = False
             self._feed(data)
             self._bound(len(data))
         return self._parts.popleft()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -238,6 +238,26 @@
         with self.assertRaises(ConnectionBroken):
             connection.read_body(boottime_ms() + 500)
 
+    def test_nothing_of_a_request_arrives_after_it_was_given_up(self):
+        """Guard against bytes that the kernel sends on after the close."""
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            port = listener.getsockname()[1]
+            connection = ClientConnection.connect("127.0.0.1", port, 1.0, boottime_ms)
+            server, _ = listener.accept()
+            self.addCleanup(server.close)
+            request = b"x" * 3_000_000
+            with self.assertRaises(ConnectionTimedOut):
+                connection.send(request, 0.1)
+            connection.close()
+            received = 0
+            with self.assertRaises(ConnectionResetError):
+                while data := server.recv(65_536):
+                    received += len(data)
+            self.assertLess(received, len(request) // 10)
+
     def test_a_refused_connection_has_sent_nothing(self):
         listener = gevent.socket.create_server(("127.0.0.1", 0))
         port = listener.getsockname()[1]
