Judge a request by the size limits in force, not by those of its connection

Cause: the limits were read as the connection was opened. Fix: they are read before bytes are parsed; a body has the limit in force when its head was complete.

Test: one, failed before (413 after the limit was raised).

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -126,7 +126,7 @@
         self,
         sock: socket.socket,
         serve: RequestHandler,
-        limits: RequestLimits,
+        limits: Callable[[], RequestLimits],
         is_stopping: Callable[[], bool],
         clock: Callable[[], int],
     ) -> None:
@@ -135,7 +135,7 @@
         self._serve = serve
         self._limits = limits
         self._is_stopping = is_stopping
-        self._reader = RequestReader(limits.header_bytes, limits.body_bytes)
+        self._reader = RequestReader(limits().header_bytes, limits().body_bytes)
         self._closing = False
         self.idle = True
 
@@ -213,14 +213,18 @@
         """
         head_deadline_ms = None
         while (request := self._reader.next_request()) is None:
+            limits = self._limits()
             if self._reader.in_head and head_deadline_ms is None:
-                head_deadline_ms = self._clock() + self._limits.header_timeout_ms
-            timeout_ms = self._limits.idle_timeout_ms
+                head_deadline_ms = self._clock() + limits.header_timeout_ms
+            timeout_ms = limits.idle_timeout_ms
             if self._reader.in_head and head_deadline_ms is not None:
                 timeout_ms = max(head_deadline_ms - self._clock(), 1)
             data = self._receive(timeout_ms / 1_000)
             if not data:
                 return None
+            limits = self._limits()  # they may have changed while it waited
+            self._reader.header_bytes = limits.header_bytes
+            self._reader.body_bytes = limits.body_bytes
             self._reader.feed(data)
             if self._reader.expects_continue:
                 self._socket.sendall(CONTINUE_RESPONSE)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -195,7 +195,7 @@
     ) -> StreamServer:
         def handle(sock, _peer: object) -> None:
             connection = Connection(
-                sock, serve, self._limits(), lambda: self._stopping, boottime_ms
+                sock, serve, self._limits, lambda: self._stopping, boottime_ms
             )
             self._connections.add(connection)
             try:
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
@@ -38,11 +38,14 @@
     """A parser that collects complete requests.
 
     ``receiving`` is true while a request is incomplete, ``in_head`` while its head is.
+    ``header_bytes`` and ``body_bytes`` are the limits of the requests that follow.
     """
 
     def __init__(self, header_bytes: int, body_bytes: int) -> None:
-        self._header_bytes = header_bytes
-        self._body_bytes = body_bytes
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self._max_header_bytes = header_bytes
+        self._max_body_bytes = body_bytes
         self._parser = httptools.HttpRequestParser(self)
         self._complete: deque[HttpRequest] = deque()
         self._request = HttpRequest()
@@ -64,7 +67,7 @@
         except httptools.HttpParserError as error:
             raise self._fault or RequestFault(400, str(error)) from error
         # The parser reports complete headers only; this also limits an incomplete one.
-        if self.in_head and self._received_bytes > self._header_bytes:
+        if self.in_head and self._received_bytes > self._max_header_bytes:
             raise RequestFault(431, "the head exceeds the size limit")
 
     def next_request(self) -> HttpRequest | None:
@@ -74,6 +77,7 @@
     def on_message_begin(self) -> None:
         """Begin a request (called by the parser)."""
         self._request = HttpRequest()
+        self._max_header_bytes = self.header_bytes
         self._body, self._head_size = bytearray(), 0
         self.in_head = True
         self.receiving = True
@@ -91,12 +95,13 @@
     def on_headers_complete(self) -> None:
         """Check the head (called by the parser)."""
         self.in_head = False
+        self._max_body_bytes = self.body_bytes
         request = self._request
         request.method = self._parser.get_method()
         request.version = self._parser.get_http_version()
         request.keep_alive = self._parser.should_keep_alive()
         length = request.header(b"content-length") or b"0"
-        if length.isdigit() and int(length) > self._body_bytes:
+        if length.isdigit() and int(length) > self._max_body_bytes:
             self._refuse(413, "the body exceeds the size limit")
         expect = request.header(b"expect")
         self.expects_continue = expect is not None and b"100-continue" in expect.lower()
@@ -104,7 +109,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body (called by the parser)."""
         self._body += body
-        if len(self._body) > self._body_bytes:
+        if len(self._body) > self._max_body_bytes:
             self._refuse(413, "the body exceeds the size limit")
 
     def on_message_complete(self) -> None:
@@ -117,7 +122,7 @@
 
     def _count_head(self, size: int) -> None:
         self._head_size += size
-        if self._head_size > self._header_bytes:
+        if self._head_size > self._max_header_bytes:
             self._refuse(431, "the head exceeds the size limit")
 
     def _refuse(self, status: int, detail: str) -> None:
--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -20,15 +20,37 @@
             self.caller = socket.create_connection(listener.getsockname())
             server_socket, _ = listener.accept()
         self.served = []
+        self.limits = RequestLimits()
         self.connection = Connection(
-            server_socket, self._serve, RequestLimits(), lambda: False, boottime_ms
+            server_socket, self._serve, self._limits, lambda: False, boottime_ms
         )
         self.addCleanup(self.caller.close)
 
+    def _limits(self):
+        return self.limits
+
     def _serve(self, caller, request):
         self.served.append(request)
         caller.answer(200, [], b"")
 
+    def test_an_open_connection_follows_changed_size_limits(self):
+        """Guard against limits of the configuration in force as it was opened."""
+        running = gevent.spawn(self.connection.run)
+        head = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 90\r\n\r\n"
+        body = b"x" * 90
+        for body_bytes in (100, 50, 200):
+            self.limits = RequestLimits(body_bytes=100)
+            self.caller.sendall(head + body[:40])
+            gevent.sleep(0.01)
+            self.limits = RequestLimits(body_bytes=body_bytes)  # for the next head
+            self.caller.sendall(body[40:])
+            self.assertTrue(self.caller.recv(100).startswith(b"HTTP/1.1 200"))
+        self.limits = RequestLimits(body_bytes=50)
+        self.caller.sendall(head + body)
+        self.assertTrue(self.caller.recv(100).startswith(b"HTTP/1.1 413"))
+        self.caller.close()
+        running.join(2)
+
     def test_request_received_after_the_close_is_not_served(self):
         self.caller.sendall(REQUEST)
         self.connection.close_if_idle()
--- a/tests/test_direct_races.py
+++ b/tests/test_direct_races.py
@@ -126,7 +126,7 @@
             caller = socket.create_connection(listener.getsockname())
             served, _ = listener.accept()
         connection = Connection(
-            served, exchanges.serve, RequestLimits(), lambda: False, boottime_ms
+            served, exchanges.serve, RequestLimits, lambda: False, boottime_ms
         )
         gevent.spawn(connection.run)
         self.caller = ClientConnection(caller, boottime_ms)
--- a/tests/test_direct_resumed_streams.py
+++ b/tests/test_direct_resumed_streams.py
@@ -166,7 +166,7 @@
             ours = socket.create_connection(listener.getsockname())
             served, _ = listener.accept()
         connection = Connection(
-            served, self._exchanges.serve, RequestLimits(), lambda: False, boottime_ms
+            served, self._exchanges.serve, RequestLimits, lambda: False, boottime_ms
         )
         server = gevent.spawn(connection.run)
         ticks = gevent.spawn(_tick)
