Keep trailer fields of a request out of its header

Found by the review's reading: a trailer after a chunked body became a header field towards the upstream, past the checks of the head. Fix: fields that come after the head count for its limit and are dropped, as the message is sent on with a length. Test: one, failed before (x-key was there).

--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
@@ -88,9 +88,10 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header (called by the parser)."""
+        """Store one header, but no trailer (called by the parser)."""
         self._count_head(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
-        self._request.headers.append((name, value))
+        if self.in_head:
+            self._request.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the head (called by the parser)."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -74,6 +74,13 @@
                     read(data)
                 self.assertEqual(caught.exception.status, status)
 
+    def test_trailers_are_no_headers(self):
+        """Guard against trailer fields that the next hop takes for header fields."""
+        head = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        (request,) = read(head + b"1\r\na\r\n0\r\nx-key: stolen\r\n\r\n")
+        self.assertEqual(request.body, b"a")
+        self.assertIsNone(request.header(b"x-key"))
+
     def test_hop_by_hop_headers_are_dropped(self):
         headers = (
             (b"Connection", b"close, X-Hop"),
