--- a/tests/test_direct_crash_parts.py
+++ b/tests/test_direct_crash_parts.py
@@ -403,6 +403,15 @@
                 request = HttpRequest(headers=[header])
                 self.assertEqual(caller_fields(request).shared_parts, shared)
 
+    def test_how_long_a_caller_waits(self):
+        """Guard against a number of any length that ends a request with an error."""
+        cases = ((b"900", 900), (b"9" * 5_000, None), (b"-1", None), (b"", None))
+        for value, timeout_ms in cases:
+            with self.subTest(value=value[:9]):
+                header = (b"X-Nutmegslip-Deadline-Ms", value)
+                request = HttpRequest(headers=[header])
+                self.assertEqual(caller_fields(request).timeout_ms, timeout_ms)
+
 
 class FleetTests(unittest.TestCase):
     """Replay bad prompts at all entries, alone and beside other faults."""
