Take a deadline that passed before the send for no sign against the upstream

Found by the review's reading: a request that the entry came too late to send, as after a suspension, counted as if its upstream were gone: it was avoided, and crashes in doubt were confirmed. Fix: such a failure says so, and leaves the upstream's statistics and the evidence alone.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_events.py
@@ -188,11 +188,13 @@
 class NotSent:
     """No byte of the request reached the upstream; ``detail`` is the reason.
 
-    ``refused`` is whether nothing listens at its address.
+    ``refused`` is whether nothing listens at its address. ``overdue`` is whether the
+    entry came too late to send it, which says nothing of the upstream.
     """
 
     detail: str = ""
     refused: bool = False
+    overdue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_failures.py
@@ -52,7 +52,7 @@
 ) -> UpstreamStats:
     """Return the statistics of an upstream after a failed attempt."""
     match failure:
-        case Errored() | Moved():
+        case Errored() | Moved() | NotSent(overdue=True):
             return stats
         case Declined(misdirected=True):
             return stats._replace(avoid_until_ms=now_ms + MISDIRECTED_AVOID_MS)
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_requests.py
@@ -182,7 +182,7 @@
         state = with_ended_answer(state, request, now_ms)
     if _shows_rank_gone(failure):
         state = _with_group_suspicion(state, request.upstream, now_ms)
-    if isinstance(failure, NotSent):
+    if isinstance(failure, NotSent) and not failure.overdue:
         state = with_upstream_gone(state, request.upstream, now_ms)
     sent = not _is_unsent(failure)
     left = request.upstream
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -59,6 +59,8 @@
 FIRST_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
+_OVERDUE = NotSent("the deadline passed before the request was sent", overdue=True)
+
 
 class Exchanges:
     """Serve requests; each runs ``serve`` in its own greenlet."""
@@ -201,7 +203,7 @@
         answer_read = False
         try:
             if not self._send_request(connection, request, upstream):
-                return NotSent("the deadline passed before the request was sent")
+                return _OVERDUE
             failure = self._relay_answer(connection, request, upstream)
             answer_read = not isinstance(failure, Moved)
         except ConnectionBroken as error:
@@ -290,8 +292,7 @@
         body_begun = False
         try:
             if not self._send_request(connection, request, upstream):
-                unsent = NotSent("the deadline passed before the request was sent")
-                return FailedAttempt(unsent)
+                return FailedAttempt(_OVERDUE)
             answer = self._read_checked_answer(connection, request, upstream)
             body_begun = isinstance(answer, ResponseHead) and not _is_stream(answer)
             result = self._read_start(connection, request, answer)
--- a/tests/test_direct_crash_requests.py
+++ b/tests/test_direct_crash_requests.py
@@ -122,6 +122,20 @@
     def _counts(self):
         return list(self.world.state.parts.counts.values())
 
+    def test_a_request_that_came_too_late_says_nothing_of_its_upstream(self):
+        """Guard against a suspended entry that avoids its upstreams."""
+        name = self._break()
+        (send,) = self.world.arrive("/pushes/1", fingerprint="other")
+        while send.upstream.id != name:
+            (send,) = self.world.arrive("/pushes/1", fingerprint="other")
+        before = self.world.state.stats_of(name)
+        overdue = NotSent("the deadline passed", overdue=True)
+        failed = AttemptFailed(self.world.now_ms, send.request.ticket, overdue)
+        self.world.take(failed)
+        after = self.world.state.stats_of(name)
+        self.assertEqual(after.avoid_until_ms, before.avoid_until_ms)
+        self.assertEqual(self._counts(), [])
+
     def test_what_shows_that_an_upstream_is_gone(self):
         def refused(world, upstream_id):
             ticket = next(
