Leave a stream at its slow rank while the retry budget is spent

Found by the review's reading: whether a stream is better moved did not look at the budget for its first attempt, but its retry does, so with a spent budget a slow rank's streams were broken off instead of moved. Fix: the decision asks the budget first. Test: one, failed before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_stream_moves.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_stream_moves.py
@@ -6,6 +6,7 @@
 the retry budget. As it stays in its group, it needs no slot that the pace opens.
 """
 
+from nutmegslip_decisions.direct._budget import retry_budget
 from nutmegslip_decisions.direct._choice import capacity_of, choose
 from nutmegslip_decisions.direct._events import Moved
 from nutmegslip_decisions.direct._failures import may_retry
@@ -29,6 +30,8 @@
         return False
     if not may_retry(state, request, Moved(), now_ms):
         return False
+    if retry_budget(state, request.service, now_ms).is_spent:
+        return False  # a stream that has left its rank could not go on
     return rank_to_move_to(state, request, request.upstream, now_ms) is not None
 
 
--- a/tests/test_direct_slow_ranks.py
+++ b/tests/test_direct_slow_ranks.py
@@ -214,6 +214,16 @@
             world.state = world.state._replace(requests=requests)
             self.assertFalse(world.should_move(ticket))
 
+    def test_a_spent_retry_budget_leaves_a_stream_where_it_is(self):
+        """Guard against a stream that is taken from its rank and then broken off."""
+        world = GroupWorld()
+        ticket = world.send_to("m7")
+        world.read("m7", 12.0)
+        self.assertTrue(world.should_move(ticket))
+        spent = world.state.options._replace(budget_slack=0.0, budget_ratio=0.0)
+        world.state = world.state._replace(options=spent)
+        self.assertFalse(world.should_move(ticket))
+
     def test_a_stream_is_refused_nothing_where_no_rank_can_take_it(self):
         world = GroupWorld()
         ticket = world.send_to("m7")
