Forget the statistics of upstreams that were removed long ago

Found by the review's reading: they were kept for good, one for each upstream that ever was. They go with the record of the removal, after ten minutes. Test: one, failed before.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_departures.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_departures.py
@@ -60,16 +60,21 @@
 
 
 def without_forgotten(state: State, now_ms: Millis) -> State:
-    """Forget incarnations that were removed long ago."""
+    """Forget incarnations that were removed long ago, and their statistics."""
     forgotten = [
         upstream_id
         for upstream_id, departure in state.departures.items()
         if departure.forget_ms is not None and departure.forget_ms <= now_ms
     ]
-    departures = state.departures
+    departures, upstream_stats = state.departures, state.upstream_stats
     for upstream_id in forgotten:
         departures = departures.delete(upstream_id)
-    return state._replace(departures=departures) if forgotten else state
+        is_idle = not state.stats_of(upstream_id).in_flight
+        if upstream_id in upstream_stats and is_idle:
+            upstream_stats = upstream_stats.delete(upstream_id)
+    if not forgotten:
+        return state
+    return state._replace(departures=departures, upstream_stats=upstream_stats)
 
 
 def _with_departure(
--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -222,6 +222,16 @@
         self._pass(1)
         self.assertNotIn("u1", self.world.state.departures)
 
+    def test_statistics_of_removed_upstreams_are_forgotten_in_the_end(self):
+        """Guard against memory that grows with each upstream that ever was."""
+        while self._send() != "u1":
+            pass
+        self.assertIn("u1", self.world.state.upstream_stats)
+        self.world.take(UpstreamRemoved(self.world.now_ms, "u1"))
+        self._pass(600_000)
+        self.assertNotIn("u1", self.world.state.upstream_stats)
+        self.assertIn("u2", self.world.state.upstreams)
+
 
 class FeedTests(unittest.TestCase):
     """Test the reads of a store that is restored, by the events that they cause."""
