--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -81,7 +81,10 @@
 
 
 class EntryProcess:
-    """An entry that can be restarted; its log file is kept across restarts."""
+    """An entry that can be restarted; its log file is kept across restarts.
+
+    ``root`` is the checkout from which it is started next.
+    """
 
     def __init__(
         self,
@@ -94,8 +97,10 @@
         seeds: tuple[str, ...] = (),
         retries: RetryLimits = _USUAL_RETRIES,
         hedge_share: float = 0.0,
+        root: pathlib.Path = ROOT,
     ) -> None:
         self.ip = ip
+        self.root = root
         # Kept bound, so that nothing else gets a port before the entry listens.
         self._reserved = [reserve_port(ip) for _ in range(len(Ports._fields))]
         *own, peers = [sock.getsockname()[1] for sock in self._reserved]
@@ -129,7 +134,7 @@
         with self.log.open("a") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "platform/entry.py"],
-                cwd=ROOT,
+                cwd=self.root,
                 env=os.environ | {"NUTMEGSLIP_CONFIG": str(self.settings)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,12 +1,13 @@
 """Run soak seeds from the command line."""
 
+import pathlib
 import subprocess
 import sys
 from itertools import islice
 
 import defopt
 
-from soak._run import STEPS, run
+from soak._run import LOGS_FOLDER, STEPS, run
 from soak._schedule import ENTRIES
 
 
@@ -18,6 +19,7 @@
     steps: int = STEPS,
     entries: int = ENTRIES,
     hedge_share: float = 0.0,
+    production: str = "",
 ) -> int:
     """Run seeds one after the other, or several at once; print each result.
 
@@ -27,16 +29,34 @@
     :param steps: number of faults for each seed
     :param entries: number of entry processes for each seed
     :param hedge_share: the limit on second attempts of slow requests, 0 for none
+    :param production: the commit of the build that is upgraded meanwhile, if any
     """
+    checkout = _checkout(production) if production else None
     numbers = iter(range(first, first + seeds))
     if jobs > 1:
         options = ["--steps", str(steps), "--entries", str(entries)]
-        options += ["--hedge-share", str(hedge_share)]
+        options += ["--hedge-share", str(hedge_share), "--production", production]
         codes: list[int] = []
         while batch := list(islice(numbers, jobs)):
             codes += _run_parallel(batch, options)
         return max(codes)
-    return max(_run_one(number, steps, entries, hedge_share) for number in numbers)
+    return max(
+        _run_one(number, steps, entries, hedge_share, checkout) for number in numbers
+    )
+
+
+def _checkout(commit: str) -> pathlib.Path:
+    """Return the files of an earlier build, which share this environment."""
+    folder = LOGS_FOLDER / f"production-{commit}"
+    if not folder.exists():
+        folder.mkdir(parents=True)
+        archive = subprocess.run(
+            ["git", "archive", commit, "packages", "platform"],
+            check=True,
+            stdout=subprocess.PIPE,
+        )
+        subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
+    return folder
 
 
 def _run_parallel(batch: list[int], options: list[str]) -> list[int]:
@@ -49,8 +69,20 @@
     return [process.wait() for process in started]
 
 
-def _run_one(seed: int, steps: int, entries: int, hedge_share: float) -> int:
-    outcome = run(seed, steps=steps, entries=entries, hedge_share=hedge_share)
+def _run_one(
+    seed: int,
+    steps: int,
+    entries: int,
+    hedge_share: float,
+    production: pathlib.Path | None,
+) -> int:
+    outcome = run(
+        seed,
+        steps=steps,
+        entries=entries,
+        hedge_share=hedge_share,
+        production=production,
+    )
     total = sum(outcome.statuses.values())
     served = sum(n for name, n in outcome.statuses.items() if name.endswith(" 200"))
     verdict = "broken" if outcome.violations else "kept"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -28,7 +28,9 @@
     plan_endless,
     plan_limits,
     plan_notices,
+    plan_odd,
     plan_restarts,
+    plan_upgrade,
 )
 from soak._site import SoakSite
 
@@ -38,6 +40,7 @@
 NOTICE_INTERVAL = 4  # steps for each further one that gives a notice
 ENDLESS_INTERVAL = 8  # steps for each further one with bytes without end
 LIMIT_INTERVAL = 12  # steps for each further one with limits that runners name
+ODD_INTERVAL = 8  # steps for each further odd entry, and for odd bytes of a runner
 CALLERS = 12
 CHECK_INTERVAL_S = 1.0
 SETTLE_S = 5.0  # bound for applying what was published during a store outage
@@ -55,17 +58,33 @@
 
 
 def run(
-    seed: int, *, steps: int = STEPS, entries: int = ENTRIES, hedge_share: float = 0.0
+    seed: int,
+    *,
+    steps: int = STEPS,
+    entries: int = ENTRIES,
+    hedge_share: float = 0.0,
+    production: pathlib.Path | None = None,
 ) -> Outcome:
-    """Run one seed to its end and return the outcome."""
+    """Run one seed to its end and return the outcome.
+
+    With ``production``, a checkout, entries of that build are replaced meanwhile.
+    """
     planned = (
         *plan(seed, steps, DURATION_S),
         *plan_notices(seed, steps // NOTICE_INTERVAL, DURATION_S),
         *plan_endless(seed, steps // ENDLESS_INTERVAL, DURATION_S),
         *plan_restarts(seed, entries, DURATION_S),
         *plan_limits(seed, steps // LIMIT_INTERVAL),
+        *plan_odd(seed, steps // ODD_INTERVAL, DURATION_S),
+        *(plan_upgrade(seed, entries) if production else ()),
+    )
+    return run_steps(
+        seed,
+        planned,
+        entries=entries,
+        hedge_share=hedge_share,
+        production=production or ROOT,
     )
-    return run_steps(seed, planned, entries=entries, hedge_share=hedge_share)
 
 
 def run_steps(
@@ -74,11 +93,12 @@
     *,
     entries: int = ENTRIES,
     hedge_share: float = 0.0,
+    production: pathlib.Path = ROOT,
 ) -> Outcome:
     """Run the given steps with the callers of a seed."""
     schedule = tuple(sorted(steps))
     with tempfile.TemporaryDirectory() as folder:
-        site = SoakSite(pathlib.Path(folder), entries, hedge_share)
+        site = SoakSite(pathlib.Path(folder), entries, hedge_share, production)
         try:
             outcome = _run_schedule(seed, schedule, site)
         finally:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -5,9 +5,11 @@
 from typing import NamedTuple
 
 from fakes.runners import ENDLESS, Fault
+from soak._odd_entries import ODD_ENTRIES
 from soak._proxy import LinkState
 
 ENTRIES, RUNNERS = 3, 6
+UPGRADE_GAP_S = 3.0  # longer than an idle process takes to stop and start
 
 
 class Action(StrEnum):
@@ -29,6 +31,8 @@
     PAUSE = "pause"  # a runner rejects requests and asks for a pause
     LIMIT = "limit"  # a runner names a limit, then a smaller one, then none
     RESTORE = "restore"  # the store returns from a copy as old as the step is long
+    ODD_ENTRY = "odd-entry"  # another writer leaves an entry that names no runner
+    UPGRADE = "upgrade"  # SIGTERM, and a process of the variant's build
 
 
 class Identity(StrEnum):
@@ -38,12 +42,19 @@
     NEW = "new"
 
 
+class Build(StrEnum):
+    """Build of which an entry is started: the one in production or the new one."""
+
+    OLD = "old"
+    NEW = "new"
+
+
 class Step(NamedTuple):
     """One fault; ``at_s`` counts from the start of traffic.
 
     ``target`` is the index of an entry or a runner; link indexes after those of the
     runners are links from an entry to the store. ``variant`` is a LinkState, a Fault
-    or an Identity.
+    an Identity or a Build, or the number of an odd entry.
     """
 
     at_s: float
@@ -67,8 +78,13 @@
 _WEIGHTS = {Action.RUNNER: 5, Action.LINK: 3, Action.REPLACE: 2}
 # Drawn apart from the others, so that the schedules of earlier seeds stay the same.
 _NOTICES = (Action.LEAVE, Action.PAUSE, Action.RESTORE)
-_OTHERS = tuple(action for action in Action if action not in (*_NOTICES, Action.LIMIT))
-_ENDLESS_FAULTS = (*ENDLESS, Fault.STALLED_SHED)
+_PLANNED_APART = (*_NOTICES, Action.LIMIT, Action.ODD_ENTRY, Action.UPGRADE)
+_OTHERS = tuple(action for action in Action if action not in _PLANNED_APART)
+_ODD_FAULTS = (Fault.ENDLESS_CHUNKS, Fault.SHED_LATE)
+_ENDLESS_FAULTS = (
+    *(fault for fault in ENDLESS if fault not in _ODD_FAULTS),
+    Fault.STALLED_SHED,
+)
 _SIGNALS = (Action.STOP, Action.KILL, Action.RELOAD, Action.FREEZE)
 _LATER_FAULTS = (
     Fault.CLOSE_CUT,
@@ -77,6 +93,7 @@
     Fault.DRIP,
     Fault.SLOW,
     *_ENDLESS_FAULTS,
+    *_ODD_FAULTS,
 )
 _RUNNER_FAULTS = tuple(
     fault
@@ -154,6 +171,55 @@
     )
 
 
+def plan_odd(seed: int, steps: int, length_s: float) -> tuple[Step, ...]:
+    """Return steps with entries of another writer and odd bytes of runners."""
+    rng = Random(f"{seed}-odd")
+    entries = tuple(
+        Step(
+            rng.uniform(0.2, length_s),
+            Action.ODD_ENTRY,
+            0,
+            rng.uniform(0.5, 4.0),
+            str(rng.randrange(len(ODD_ENTRIES))),
+        )
+        for _ in range(steps)
+    )
+    faults = tuple(
+        Step(
+            rng.uniform(0.2, length_s),
+            Action.RUNNER,
+            rng.randrange(RUNNERS),
+            rng.uniform(0.2, _MAX_DURATION_S[Action.RUNNER]),
+            str(rng.choice(_ODD_FAULTS)),
+        )
+        for _ in range(steps)
+    )
+    return (*entries, *faults)
+
+
+def plan_upgrade(seed: int, entries: int) -> tuple[Step, ...]:
+    """Return the replacement of all entries, one after the other, by the new build.
+
+    It pauses halfway. For half the seeds the entries that were replaced go back first.
+    """
+    rng = Random(f"{seed}-upgrade")
+    start_s, pause_s = rng.uniform(0.5, 2.0), rng.uniform(0.0, 3.0)
+    turns = [(turn, Build.NEW) for turn in range(entries)]
+    if rng.random() < 0.5:
+        half = turns[: (entries + 1) // 2]
+        turns = [*half, *((turn, Build.OLD) for turn, _ in half), *turns]
+    return tuple(
+        Step(
+            start_s + UPGRADE_GAP_S * number + pause_s * (number > len(turns) // 2),
+            Action.UPGRADE,
+            turn,
+            0.0,
+            str(build),
+        )
+        for number, (turn, build) in enumerate(turns)
+    )
+
+
 def _step(rng: Random, at_s: float) -> Step:
     (action,) = rng.choices(_OTHERS, [_WEIGHTS.get(action, 1) for action in _OTHERS])
     duration_s = rng.uniform(0.2, _MAX_DURATION_S.get(action, 0.2))
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -17,10 +17,12 @@
 from nutmegslip_runtime.http1 import HttpRequest
 from soak._guarantees import EVENTS_PER_STREAM
 from soak._notices import DRAIN_S, Disturbance
+from soak._odd_entries import ODD_ENTRIES
 from soak._proxy import LinkState, Proxy
 from soak._retries import RETRIES
-from soak._schedule import ENTRIES, RUNNERS, Action, Identity, Step
+from soak._schedule import ENTRIES, RUNNERS, Action, Build, Identity, Step
 
+ROOT = pathlib.Path(__file__).parent.parent
 BOARD_RUNNERS = RUNNERS // 2  # the others serve streams
 EVENT_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 9.0  # the grace period of 8 s and a margin
@@ -37,8 +39,13 @@
     """Entries, runners and a store on which the steps of a schedule run."""
 
     def __init__(
-        self, folder: pathlib.Path, entries: int = ENTRIES, hedge_share: float = 0.0
+        self,
+        folder: pathlib.Path,
+        entries: int = ENTRIES,
+        hedge_share: float = 0.0,
+        production: pathlib.Path = ROOT,
     ) -> None:
+        self._builds = {Build.OLD: production, Build.NEW: ROOT}
         self.store = StoreServer()
         self._versions = count(1)
         self._birth_numbers = count(1)
@@ -65,6 +72,7 @@
                 seeds=ips[:3],
                 retries=RETRIES,
                 hedge_share=hedge_share,
+                root=production,
             )
             for ip, link in zip(ips, stores, strict=True)
         ]
@@ -129,6 +137,15 @@
                 self._limit(self.runners[step.target], step)
             case Action.RESTORE:
                 self._restore(step.duration_s)
+            case Action.ODD_ENTRY:
+                key = f"servers/odd-{step.variant}"
+                self.store.history.put(key, ODD_ENTRIES[int(step.variant)])
+                gevent.sleep(step.duration_s)
+                self.store.history.remove(key)
+            case Action.UPGRADE:
+                entry = self.entries[step.target]
+                entry.root = self._builds[Build(step.variant)]
+                self._stop(entry)
 
     def repair(self) -> None:
         """Repair every remaining fault, and start every entry that has ended."""
