Look at each part's crashes once a count, and past comments for an event's id

With blames, a count of crashes went through all peers again for each pair of parts; it does once a part now. Comment blocks behind an event, or several of them, no longer make a stream one that cannot go on elsewhere.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -291,19 +291,20 @@
     """
     evidence = state.parts
     counts, blames = evidence.counts, evidence.blames
-    for part in sorted({*parts, *blames}, key=lambda p: (evidence.share(p), p)):
+    found = {part: _crashes_of(state, part) for part in {*parts, *blames}}
+    for part in sorted(found, key=lambda part: (evidence.share(part), part)):
         begun_ms, ended_ms = evidence.begun.get(part), evidence.ended.get(part)
-        crashes = _crashes_of(state, part)
+        crashes = found[part]
         if any(crash.needs_end for crash in crashes):
             begun_ms = None  # its answers begin, and still crash upstreams
         evidence = without_disproved(evidence, part, ended_ms)
         blame = blames.get(part)
         if blame is not None:
             shown_ms = max(begun_ms or 0, ended_ms or 0)
-            if shown_ms >= blame.since_ms or _is_bystander(state, part, blames):
+            if shown_ms >= blame.since_ms or _is_bystander(found, part, blames):
                 blames = blames.delete(part)
         else:
-            crashes = _without_explained(state, crashes, blames)
+            crashes = _without_explained(crashes, [found[other] for other in blames])
         counted = crashes_in_sequence(crashes, begun_ms, ended_ms)
         counts = counts.set(part, len(counted)) if counted else _without(counts, part)
         if blame is None and _is_blamed(counted):
@@ -311,26 +312,25 @@
     return state._replace(parts=evidence._replace(counts=counts, blames=blames))
 
 
-def _is_bystander(state: State, part: str, blames: Map[str, Blame]) -> bool:
+def _is_bystander(
+    found: dict[str, tuple[Crash, ...]], part: str, blames: Map[str, Blame]
+) -> bool:
     """Return whether other blamed parts explain a part's crashes, and have more."""
-    others, crashes = blames.delete(part), _crashes_of(state, part)
-    if not crashes or _without_explained(state, crashes, others):
+    others = [found[other] for other in blames if other != part]
+    if not found[part] or _without_explained(found[part], others):
         return False
-    return any(
-        _without_explained(state, _crashes_of(state, other), (part,))
-        for other in others
-    )
+    return any(_without_explained(crashes, [found[part]]) for crashes in others)
 
 
 def _without_explained(
-    state: State, crashes: tuple[Crash, ...], blamed: Iterable[str]
+    crashes: tuple[Crash, ...], explained: list[tuple[Crash, ...]]
 ) -> tuple[Crash, ...]:
-    """Return the crashes that ended apart from all crashes of blamed parts."""
-    explained = [c.ended_ms for part in blamed for c in _crashes_of(state, part)]
+    """Return the crashes that ended apart from all crashes that explain them."""
+    ended_ms = [crash.ended_ms for known in explained for crash in known]
     return tuple(
         crash
         for crash in crashes
-        if all(abs(crash.ended_ms - ended_ms) > SAME_CRASH_MS for ended_ms in explained)
+        if all(abs(crash.ended_ms - at_ms) > SAME_CRASH_MS for at_ms in ended_ms)
     )
 
 
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_event_splitter.py
@@ -9,7 +9,7 @@
 EVENT_END = b"\n\n"
 # An id is sent in a header, and compared as a number where it is one.
 EVENT_ID = re.compile(rb"^id: ?([!-~]{1,64})[ \t]*$", re.MULTILINE)
-COMMENTS = re.compile(rb"(?::.*\n)*\n*")
+COMMENTS = re.compile(rb"(?:(?::.*)?\n)*")
 MAX_EVENT_BYTES = 1_048_576
 
 
@@ -67,12 +67,15 @@
         if ids and self._resumed_after:
             self.is_repeated = not _is_after(ids[0].decode(), self._resumed_after)
             self._resumed_after = ""
-        if self.is_repeated or COMMENTS.fullmatch(complete):
+        if self.is_repeated:
             return
-        last = complete.rstrip(b"\n").rpartition(EVENT_END)[2]
-        self.may_resume = EVENT_ID.search(last) is not None
         if ids:
             self.last_id = ids[-1].decode()
+        blocks = reversed(complete.split(EVENT_END))
+        events = (b for b in blocks if not COMMENTS.fullmatch(b + b"\n"))
+        last = next(events, None)
+        if last is not None:
+            self.may_resume = EVENT_ID.search(last) is not None
 
 
 def _is_after(event_id: str, earlier: str) -> bool:
--- a/tests/test_direct_resumed_streams.py
+++ b/tests/test_direct_resumed_streams.py
@@ -248,7 +248,10 @@
             (b": comment\n\n", True),
             (b"data: b\n\n", False),
             (b": comment\n\n", False),
+            (b": comment\n\n: comment\n\n", False),
             (b"id: 2\ndata: c\n\n", True),
+            (b": comment\n\n\n: comment\n\n", True),
+            (b"id: 2\ndata: c\n\n: comment\n\n", True),
             (b"id: 3\r\ndata: d\n\n", False),
             (b"id: " + b"4" * 70 + b"\ndata: e\n\n", False),
         )
