Hold no request for others' whole streams after a crash of hosts

Cause: a request that has met a crash waits while others with its part are in flight, from the first crash of the part on. Since crashes after the start count too, and only an ended answer acquits of them, it waited for whole streams, or was refused.

Fix: such a part holds requests from its second crash on, as for all others.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -75,13 +75,25 @@
     blamed = [part for part in request.subjects if part in evidence.blames]
     if not all(_is_probe_due(state, part, now_ms) for part in blamed):
         return Gate.CLOSED
-    # A request that has met a crash itself is likelier to be its cause.
-    limit = 1 if request.met_crash else SUSPECT_CRASHES
-    suspected = {p for p in request.subjects if evidence.counts.get(p, 0) >= limit}
+    suspected = {
+        part
+        for part in request.subjects
+        if evidence.counts.get(part, 0) >= _hold_crashes(evidence, request, part)
+    }
     in_flight = _parts_in_flight(state, now_ms) if suspected or blamed else frozenset()
     return Gate.HELD if in_flight & (suspected | set(blamed)) else Gate.OPEN
 
 
+def _hold_crashes(evidence: PartEvidence, request: Request, part: str) -> int:
+    """Return from how many crashes of a part on the request waits for others.
+
+    A request that has met a crash itself is likelier to be its cause. But a part that
+    only an ended answer acquits would hold it for as long as answers take.
+    """
+    is_late = part in evidence.late and part in request.parts
+    return 1 if request.met_crash and not is_late else SUSPECT_CRASHES
+
+
 def blame_delay_ms(state: State, request: Request, now_ms: Millis) -> int:
     """Return the time after which a probe may have ended the blame of a request."""
     blames = [
@@ -290,7 +302,7 @@
     crashes of the other parts that were there.
     """
     evidence = state.parts
-    counts, blames = evidence.counts, evidence.blames
+    counts, blames, late = evidence.counts, evidence.blames, evidence.late
     found = {part: _crashes_of(state, part) for part in {*parts, *blames}}
     for part in sorted(found, key=lambda part: (evidence.share(part), part)):
         begun_ms, ended_ms = evidence.begun.get(part), evidence.ended.get(part)
@@ -307,9 +319,12 @@
             crashes = _without_explained(crashes, [found[other] for other in blames])
         counted = crashes_in_sequence(crashes, begun_ms, ended_ms)
         counts = counts.set(part, len(counted)) if counted else _without(counts, part)
+        is_late = any(crash.needs_end for crash in counted)
+        late = late | {part} if is_late else late - {part}
         if blame is None and _is_blamed(counted):
             blames = blames.set(part, Blame(counted[-1].ended_ms, 0, now_ms))
-    return state._replace(parts=evidence._replace(counts=counts, blames=blames))
+    evidence = evidence._replace(counts=counts, blames=blames, late=late)
+    return state._replace(parts=evidence)
 
 
 def _is_bystander(
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -122,6 +122,7 @@
     suspected part last did so at any entry. ``counts`` are the
     crashes in sequence over all entries, for the parts that have any. ``arrived``
     and ``total`` count the requests that arrived here, halved at ``halve_ms``.
+    ``late`` are the parts with crashes after an answer had begun.
     ``unconfirmed`` are broken attempts of whole requests, by upstream. ``inherited``
     are crashes of processes of other entries that no longer report them.
     """
@@ -140,6 +141,7 @@
     recent_ends: Map[str, Millis] = Map()
     ended: Map[str, Millis] = Map()
     end_outcomes: Map[str, tuple[Outcome, ...]] = Map()
+    late: frozenset[str] = frozenset()
 
     def share(self, part: str) -> float:
         """Return the share of requests with a part; high while few have arrived."""
--- a/tests/test_direct_crash_parts.py
+++ b/tests/test_direct_crash_parts.py
@@ -26,6 +26,7 @@
     ResponseStarted,
     Send,
     Tick,
+    UpstreamRemoved,
     part_report,
 )
 from nutmegslip_decisions.direct._crash_parts import MAX_CHANCE
@@ -288,6 +289,22 @@
         ]
         self.assertEqual(sum(len(found) for found in effects), 1)
 
+    def test_one_fault_of_hosts_holds_no_request_until_answers_end(self):
+        """Guard against requests that wait for others' whole streams after a crash."""
+        sent = [
+            self.world.arrive("/verses/1", parts=("common", f"own{n}"))[0]
+            for n in range(3)
+        ]
+        begun, unbegun, _ = (effect.request.ticket for effect in sent)
+        self.world.now_ms += 100
+        self.world.take(ResponseStarted(self.world.now_ms, begun))
+        self.world.now_ms += INNOCENT_MS + 100
+        self.world.take(AttemptFailed(self.world.now_ms, begun, CRASH, streaming=True))
+        self.world.take(UpstreamRemoved(self.world.now_ms, sent[0].upstream.id))
+        effects = self.world.take(AttemptFailed(self.world.now_ms, unbegun, CRASH))
+        self.assertEqual(self.world.state.parts.counts["common"], 1)
+        self.assertEqual([effect.request.ticket for effect in effects], [unbegun])
+
 
 class PeerTests(PartTestCase):
     """Entries see few crashes each, so they add up what all of them have seen."""
