Test what two changed checks no longer asked

From the read-through: since the stand-in's refusals echo the id, nothing showed that one without an id is still believed on a new connection, and the differences of an empty list of accounts were checked no more.

--- a/fakes/runners/_faults.py
+++ b/fakes/runners/_faults.py
@@ -24,6 +24,7 @@
     CLOSE_RESET = "close-reset"  # a reset ends such a stream between two events
     CLOSE_EMPTY = "close-empty"  # such a stream ends before its first event
     COPY_LATE = "copy-late"  # before the next answer comes a copy of this one, no id
+    SHED_UNNAMED = "shed-unnamed"  # refuses without the id of the request
     SHED_LATE = "shed-late"  # before the next answer comes a refusal without an id
     DRIP = "drip"  # a stream stalls within an event and sends a byte now and then
     SLOW = "slow"  # a stream's events come with long pauses
--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -38,6 +38,7 @@
     {
         Fault.PAUSE,
         Fault.SHED,
+        Fault.SHED_UNNAMED,
         Fault.STALLED_SHED,
         Fault.ENDLESS_SHED,
         Fault.MISDIRECTED,
@@ -184,6 +185,8 @@
         elif self.fault is Fault.SHED:
             headers = [*refusal, *self._notice_headers()]
             sock.sendall(encode_head(503, headers, length=0))
+        elif self.fault is Fault.SHED_UNNAMED and own:
+            sock.sendall(encode_head(503, [NOT_EXECUTED], length=0))
         elif self.fault is Fault.STALLED_SHED and own:
             sock.sendall(encode_head(503, refusal, length=9))
         elif self.fault is Fault.ENDLESS_SHED and own:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -92,6 +92,7 @@
     Fault.COPY_LATE,
     Fault.DRIP,
     Fault.SLOW,
+    Fault.SHED_UNNAMED,
     *_ENDLESS_FAULTS,
     *_ODD_FAULTS,
 )
--- a/tests/test_direct_configuration_check.py
+++ b/tests/test_direct_configuration_check.py
@@ -212,6 +212,15 @@
                 )
                 self.assertNotIn("secret", "".join(lines))
 
+    def test_an_empty_list_of_accounts_changes_no_need_for_keys(self):
+        new = _with((("tenants",), []), (("version",), 9))
+        code, lines, _ = self._run(new, CLEAN)
+        self.assertEqual(code, 0)
+        warning, *differences = lines
+        self.assertTrue(warning.startswith("warning: configuration tenants: holds no"))
+        expected = ["~ configuration version: 7 -> 9", "- account acme", "no errors"]
+        self.assertEqual(differences, expected)
+
     def test_version_is_above_that_in_force(self):
         code, lines, _ = self._run(CLEAN, CLEAN)
         self.assertEqual(code, 2)
--- a/tests/test_direct_failures.py
+++ b/tests/test_direct_failures.py
@@ -116,6 +116,12 @@
                 found = (reply.status, self.runs(name), reply.complete)
                 self.assertEqual(found, (200, 1, True))
 
+    def test_a_refusal_without_an_id_is_believed_on_a_new_connection(self):
+        """Only one request was ever sent there, so the refusal is its own."""
+        self.fail_all(Fault.SHED_UNNAMED)
+        reply = self.site.send("/verses/1", method="POST", request_id="refused")
+        self.assertEqual((reply.status, self.runs("refused")), (503, 0))
+
     def test_a_request_that_ran_is_not_reported_as_not_run(self):
         for number in range(12):
             name = f"ran-{number}"
