--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_crash_parts.py
@@ -78,14 +78,14 @@
     suspected = {
         part
         for part in request.subjects
-        if evidence.counts.get(part, 0) >= _hold_crashes(evidence, request, part)
+        if evidence.counts.get(part, 0) >= _crashes_to_hold(evidence, request, part)
     }
     in_flight = _parts_in_flight(state, now_ms) if suspected or blamed else frozenset()
     return Gate.HELD if in_flight & (suspected | set(blamed)) else Gate.OPEN
 
 
-def _hold_crashes(evidence: PartEvidence, request: Request, part: str) -> int:
-    """Return from how many crashes of a part on the request waits for others.
+def _crashes_to_hold(evidence: PartEvidence, request: Request, part: str) -> int:
+    """Return how many crashes of a part make the request wait for others with it.
 
     A request that has met a crash itself is likelier to be its cause. But a part that
     only an ended answer acquits would hold it for as long as answers take.
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_part_evidence.py
@@ -123,7 +123,8 @@
     crashes in sequence over all entries, for the parts that have any. ``arrived``
     and ``total`` count the requests that arrived here, halved at ``halve_ms``.
     ``late`` are the parts with crashes after an answer had begun.
-    ``unconfirmed`` are broken attempts of whole requests, by upstream. ``inherited``
+    ``unconfirmed`` are broken attempts by upstream, until it is found to be gone or
+    not. ``inherited``
     are crashes of processes of other entries that no longer report them.
     """
 
