Count every logged event, and log when the store is listed again

From the read-through: unreadable entries, refused reports, failed calls to ranks and dropped tasks were logged within a rate limit and counted nowhere, and an answer of the store that is too long, or a history that is gone, left no line at all. Cause: only the reducer's lines were counted.

Fix: the rate-limited log counts each event, omitted lines too, in nutmegslip_events; NS2050 says why the store is listed again. Result: one new test, one with a further check; both pass.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -99,9 +99,9 @@
             self._log_stream,
             process="nutmegslip-entry",
         )
-        self._log = RateLimitedLog(log)
-        self._dropped_lines = 0
         self._metrics = Metrics()
+        self._log = RateLimitedLog(log, count=self._metrics.count_event)
+        self._dropped_lines = 0
         self._watchdog = Watchdog()
         self._machine = StateMachine(
             settings.options,
@@ -288,7 +288,6 @@
             return
         self._settings = read.ok
         self._machine.dispatch(OptionsChanged(boottime_ms(), read.ok.options))
-        self._metrics.count_event("settings-changed")
         self._log.emit("settings-changed", seeds=",".join(read.ok.seeds))
 
     def _stop(self, callers: StreamServer) -> ExitCode:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_state_machine.py
@@ -61,7 +61,6 @@
         before = self._state
         self._state, effects = direct.reduce(before, event)
         for line in log_lines(event, before, self._state, effects):
-            self._metrics.count_event(line.name)
             self._log.emit(line.name, line.request, **line.fields)
             if line.name == "request-served":
                 self._metrics.observe_request(int(line.fields["after_ms"]))
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -365,6 +365,14 @@
         "Look at the reader of the log.",
         ("count",),
     ),
+    EventKind(
+        2050,
+        "store-listed-again",
+        Level.INFO,
+        "The changes since the last read are not to be had; the store is listed again.",
+        "If this recurs, check how much is written to the store and the link to it.",
+        ("reason",),
+    ),
     EventKind(
         2101,
         "request-sent",
--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -343,6 +343,7 @@
             self.store.down = False
             self._wait_for(lambda: len(self._listings()) > 1)
         self.assertEqual(len(self._listings()[1].upstreams), 180)
+        self.assertIn("store-listed-again", self.lines)
 
     def test_a_store_without_eras_may_forget_its_revisions(self):
         with mock.patch.object(_store, "ERA", b"x-not-there"):
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -12,6 +12,7 @@
 from nutmegslip_decisions.work import FailureKind, RefusalKind, remedy_of, status_of
 from nutmegslip_runtime.eventlog import (
     EVENTS,
+    RateLimitedLog,
     event_named,
     explain,
     make_log,
@@ -71,6 +72,20 @@
             make_log("info", "h", "z", io.StringIO()).emit("no-such-event")
 
 
+class RateLimitTests(unittest.TestCase):
+    def test_each_event_is_counted_also_if_its_line_is_omitted(self):
+        """Guard against errors that show only in a line that was left out."""
+        stream, counted = io.StringIO(), []
+        log = make_log("info", "e", "a", stream, process="test")
+        limited = RateLimitedLog(log, 2, count=counted.append)
+        for _ in range(5):
+            limited.emit("store-reached")
+        limited.emit_error("task-failed", ValueError("x"))
+        limited.flush()
+        self.assertEqual(counted, ["store-reached"] * 5 + ["task-failed"])
+        self.assertEqual(stream.getvalue().count("store-reached"), 2)
+
+
 class ProcessTests(unittest.TestCase):
     def test_refused_settings_are_logged_and_end_the_process(self):
         command = [sys.executable, "-m", "nutmegslip_entry.main", "serve", "/none"]
