--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,8 @@
 
 import defopt
 
-from soak._run import LOGS_FOLDER, STEPS, run
+from soak._builds import checkout_of
+from soak._run import STEPS, run
 from soak._schedule import ENTRIES
 
 
@@ -31,7 +32,7 @@
     :param hedge_share: the limit on second attempts of slow requests, 0 for none
     :param production: the commit of the build that is upgraded meanwhile, if any
     """
-    checkout = _checkout(production) if production else None
+    checkout = checkout_of(production) if production else None
     numbers = iter(range(first, first + seeds))
     if jobs > 1:
         options = ["--steps", str(steps), "--entries", str(entries)]
@@ -45,20 +46,6 @@
     )
 
 
-def _checkout(commit: str) -> pathlib.Path:
-    """Return the files of an earlier build, which share this environment."""
-    folder = LOGS_FOLDER / f"production-{commit}"
-    if not folder.exists():
-        folder.mkdir(parents=True)
-        archive = subprocess.run(
-            ["git", "archive", commit, "packages", "platform"],
-            check=True,
-            stdout=subprocess.PIPE,
-        )
-        subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
-    return folder
-
-
 def _run_parallel(batch: list[int], options: list[str]) -> list[int]:
     started = [
         subprocess.Popen(
