Review: show that an innocent part is blamed beside a crashing one

Cause: parts with the same share of the requests are blamed in the order of their ids, and the crashes of the other one count as explained. Done: a script with one caller whose sound prompts come back after a lull.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 play.py
