--- a/review/standins-2/prompts.py
+++ b/review/standins-2/prompts.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from small_site import STABILITY_S, TROUBLE, configuration, now, route
+from small_site import STABILITY_S, configuration, now, route
 
 CRASHES, MOST_LATE = 5, 3  # of the rule
 LEAST_SOUND = 20
@@ -36,8 +36,11 @@
     return [part.partition(":")[0] for part in prefix.split(",")[:-1]]
 
 
-async def is_budget_broken(site, prompts: Prompts) -> bool:
-    """Play the streams; return whether the rule on a crashing part was broken."""
+async def is_budget_broken(site, prompts: Prompts, *, trouble: bool) -> bool:
+    """Play the streams; return whether the rule on a crashing part was broken.
+
+    Without ``trouble`` the same is played, and the part crashes no runner.
+    """
     chance = random.Random(prompts.seed)
     kinds = list(prompts.shares)
     routes = [
@@ -111,7 +114,7 @@
     await asyncio.sleep(2)
     begin = now()
     while now() - begin < prompts.length_s:
-        if TROUBLE and now() - begin > prompts.trouble_from_s and not poison["on"]:
+        if trouble and now() - begin > prompts.trouble_from_s and not poison["on"]:
             poison["on"] = True
             site.record.add("trouble", prompts.bad_part, "crashes runners from now on")
         kind = chance.choices(kinds, prompts.shares.values())[0]
