--- a/bench/direct_site.py
+++ b/bench/direct_site.py
@@ -5,7 +5,7 @@
 
 from gevent import socket
 
-from bench.entry_process import EntryProcess, Reply, exchange
+from bench.entry_process import EntryProcess, HostLimits, Reply, exchange
 from fakes.runners import Runner
 from fakes.store import StoreServer
 
@@ -54,13 +54,15 @@
 class Site:
     """One entry process with a fake store and fake runners."""
 
-    def __init__(self) -> None:
+    def __init__(self, host_limits: HostLimits | None = None) -> None:
         self.store = StoreServer()
         self.runners: dict[str, Runner] = {}
         self._folder = tempfile.TemporaryDirectory()
         self._request_count = 0
         folder = pathlib.Path(self._folder.name)
-        self.entry = EntryProcess(folder, "entry-1", self.store.address)
+        self.entry = EntryProcess(
+            folder, "entry-1", self.store.address, host_limits=host_limits
+        )
 
     def publish(self, configuration: dict) -> None:
         """Write a configuration to the store, as the operator does."""
--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -1,7 +1,9 @@
 """Run a real entry of the platform as a process."""
 
+import contextlib
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -22,6 +24,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 READY_STATUS = 200
+LISTEN_STATE = "0A"  # in /proc/net/tcp, whose queue then counts connections
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_MS = 8_000
 
@@ -31,6 +34,7 @@
 zone = "a"
 metrics_port = {metrics}
 first_start = {first_start}
+{host_limits}
 [listen]
 callers = "{ip}:{callers}"
 ready = "{ip}:{ready}"
@@ -59,6 +63,13 @@
     slack: int = 88
 
 
+class HostLimits(NamedTuple):
+    """What the host of an entry allows its process."""
+
+    memory_mb: int
+    file_descriptors: int
+
+
 class Ports(NamedTuple):
     """Ports that an entry listens on."""
 
@@ -97,6 +108,7 @@
         seeds: tuple[str, ...] = (),
         retries: RetryLimits = _USUAL_RETRIES,
         hedge_share: float = 0.0,
+        host_limits: HostLimits | None = None,
         root: pathlib.Path = ROOT,
     ) -> None:
         self.ip = ip
@@ -110,6 +122,8 @@
         self._process: subprocess.Popen | None = None
         seed_list = ", ".join(f'"{seed}:{self.ports.peers}"' for seed in seeds)
         self._first_start = True
+        self._host_limits = host_limits
+        limits = host_limits._asdict() if host_limits else {}
         self._fields = {
             "name": name,
             "ip": ip,
@@ -118,6 +132,7 @@
             "budget_window_s": retries.window_s,
             "budget_slack": retries.slack,
             "hedge_share": hedge_share,
+            "host_limits": "\n".join(f"{k} = {v}" for k, v in limits.items()),
             **self.ports._asdict(),
         }
         self._write_settings()
@@ -139,6 +154,10 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
+        if self._host_limits is not None:
+            descriptors = self._host_limits.file_descriptors
+            allowed = (descriptors, descriptors)
+            resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, allowed)
 
     def _write_settings(self) -> None:
         first_start = "true" if self._first_start else "false"
@@ -185,6 +204,41 @@
         (peak,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
         return int(peak.split()[1]) / 1_024
 
+    def resident_bytes(self) -> int:
+        """Return the resident memory, 0 if the process has ended."""
+        try:
+            statm = pathlib.Path(f"/proc/{self._process.pid}/statm").read_text()
+        except (FileNotFoundError, ProcessLookupError):
+            return 0
+        return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE") if statm else 0
+
+    def descriptors(self) -> tuple[str, ...]:
+        """Return what the open descriptors refer to, as the kernel names it."""
+        folder = f"/proc/{self._process.pid}/fd"
+        found = []
+        with contextlib.suppress(FileNotFoundError, ProcessLookupError):
+            for name in os.listdir(folder):
+                with contextlib.suppress(FileNotFoundError, ProcessLookupError):
+                    found.append(os.readlink(f"{folder}/{name}"))
+        return tuple(found)
+
+    def unread_bytes(self) -> int:
+        """Return the bytes that the kernel holds for the process to read.
+
+        Connections that wait to be accepted belong to no process yet; the local port
+        identifies them.
+        """
+        inodes = {name[8:-1] for name in self.descriptors() if name[:7] == "socket:"}
+        unread = 0
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, local, _, state, queues, _, _, _, _, inode, *_ = line.split()
+            port = int(local.rpartition(":")[2], 16)
+            if state != LISTEN_STATE and (
+                inode in inodes or port == self.ports.callers
+            ):
+                unread += int(queues.rpartition(":")[2], 16)
+        return unread
+
     def close(self) -> None:
         """Kill the process and give its ports back."""
         self.kill()
--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -69,7 +69,8 @@
     value of Retry-After that ``Fault.PAUSE`` sends. A request whose prompt has
     ``crashing_part``, not as its last part, crashes the runner as it begins to answer;
     one whose target is ``ending_target`` ends it, which ``on_end`` is told.
-    ``limit_per_s`` is the limit that it names in its answers.
+    ``limit_per_s`` is the limit that it names in its answers. ``padding`` is appended
+    to each answer and to the data of each event.
     ``runs`` counts runs by request id; ``requests`` lists every request that ran, and
     ``disconnected`` the ids of those whose caller disconnected. ``arrivals`` lists
     every request that arrived.
@@ -87,6 +88,7 @@
         self.ends_ms: list[int] = []
         self.on_end: Callable[[], None] = lambda: None
         self.limit_per_s: float | None = None
+        self.padding = b""
         self._down_until_ms = 0
         self._sockets: set[socket.socket] = set()
         self._copies: dict[socket.socket, bytes] = {}
@@ -271,7 +273,7 @@
         self, sock: socket.socket, headers: list[tuple[bytes, bytes]], request_id: str
     ) -> None:
         gevent.sleep(self.pause_s)
-        body = f"answer to {request_id}".encode()
+        body = f"answer to {request_id}".encode() + self.padding
         response = encode_head(200, headers, length=len(body)) + body
         match self.fault:
             case Fault.SHORT:
@@ -315,7 +317,8 @@
         after = int(request.header(b"last-event-id") or 0)
         for number in range(after + 1, self.events + 1):
             gevent.sleep(SLOW_INTERVAL_S if self.fault is Fault.SLOW else self.pause_s)
-            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            data = f"{request_id} {number}".encode() + self.padding
+            event = b"id: %d\ndata: %s\n\n" % (number, data)
             if number == after + 3:
                 self._break_off(sock, event, encode)
             elif self.fault is Fault.CLOSE_EMPTY:
