Keep no body while a connection is idle

The parser kept the buffer of the last body and the request with a copy of it, and the greenlet that serves the connection kept the request. Both are dropped when the request is complete and served, and the buffer is handed over instead of copied. Ruled out: bodies that wait for a slot, as each of the 32 requests was answered before the next.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -153,6 +153,7 @@
                 self.idle = False
                 caller.close_after = not request.keep_alive or self._is_stopping()
                 self._serve_watched(caller, request)
+                del request  # its body would be kept while the connection is idle
                 self.idle = True
                 if caller.close_after or self._is_stopping():
                     break
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
@@ -25,7 +25,7 @@
     method: bytes = b""
     target: bytes = b""
     headers: list[Header] = field(default_factory=list)
-    body: bytes = b""
+    body: bytes | bytearray = b""
     version: str = "1.1"
     keep_alive: bool = True
 
@@ -115,8 +115,10 @@
 
     def on_message_complete(self) -> None:
         """Store the complete request (called by the parser)."""
-        self._request.body = bytes(self._body)
+        self._request.body = self._body
         self._complete.append(self._request)
+        # An idle connection keeps nothing of its last request.
+        self._request, self._body = HttpRequest(), bytearray()
         self.receiving = False
         self.expects_continue = False
         self._received_bytes = 0
