Bound what is read of a refused request, and let other callers be served

The read that drains the connection, so that the caller gets its refusal and no reset, never waits while bytes arrive, so neither its timeout nor any other greenlet ran meanwhile.

The drain ends after 4 MiB, and every read of a caller yields after 64 KiB, as reads of upstreams do.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -26,7 +26,9 @@
 
 READ_BYTES = 65_536
 WRITE_STALL_TIMEOUT_S = 5.0  # a caller that reads nothing for longer is disconnected
+YIELD_BYTES = 65_536  # a read that never has to wait lets no other greenlet run
 LINGER_S = 1.0  # time for a caller to read a refusal before the close
+LINGER_BYTES = 4_194_304  # read meanwhile, as a close with unread bytes is a reset
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -137,6 +139,7 @@
         self._is_stopping = is_stopping
         self._reader = RequestReader(limits().header_bytes, limits().body_bytes)
         self._closing = False
+        self._unyielded_bytes = 0
         self.idle = True
 
     @property
@@ -236,21 +239,32 @@
         self._socket.settimeout(timeout_s)
         try:
             data = self._socket.recv(READ_BYTES)
-            # Bytes received after the close are dropped: no answer can be sent.
-            return b"" if self._closing else data
         except TimeoutError as error:
             if self._reader.receiving:
                 raise RequestFault(408, "the request timed out") from error
             return b""
+        self._let_others_run(len(data))
+        # Bytes received after the close are dropped: no answer can be sent.
+        return b"" if self._closing else data
+
+    def _let_others_run(self, received: int) -> None:
+        self._unyielded_bytes += received
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            gevent.sleep(0)
 
     def _refuse(self, caller: Caller, fault: RequestFault) -> None:
         caller.close_after = True
         try:
             caller.answer(fault.status, [], b"")
             self._shut_down(socket.SHUT_WR)
+            received = 0
             with gevent.Timeout(LINGER_S, False):
-                while self._socket.recv(READ_BYTES):
-                    pass
+                while received < LINGER_BYTES and (
+                    data := self._socket.recv(READ_BYTES)
+                ):
+                    received += len(data)
+                    self._let_others_run(len(data))
         except (CallerDisconnected, OSError):
             pass  # the caller disconnected before it read the refusal
 
