Refuse a body whose framing takes more than a head and trailers may

What is received beside the body may be two times headerBytes, one for the head and one for trailers, and 20 bytes a piece of the body, which is the framing that a chunk needs. Beyond it the answer is 400. A body in chunks of a byte stays below it (BodyMemoryTests).

--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
@@ -8,6 +8,7 @@
 from nutmegslip_runtime.http1._encoding import Header
 
 HEADER_OVERHEAD_BYTES = 4  # colon, space and line end of a header line
+CHUNK_OVERHEAD_BYTES = 20  # a length of 16 digits and two line ends
 
 
 class RequestFault(Exception):  # noqa: N818
@@ -51,6 +52,7 @@
         self._request = HttpRequest()
         self._head_size = 0
         self._body = bytearray()
+        self._body_pieces = 0
         self._fault: RequestFault | None = None
         self.in_head = False
         self._received_bytes = 0  # since the last complete request
@@ -69,6 +71,17 @@
         # The parser reports complete headers only; this also limits an incomplete one.
         if self.in_head and self._received_bytes > self._max_header_bytes:
             raise RequestFault(431, "the head exceeds the size limit")
+        if self._received_bytes - len(self._body) > self._max_framing_bytes:
+            raise RequestFault(400, "the framing of the body exceeds the size limit")
+
+    @property
+    def _max_framing_bytes(self) -> int:
+        """Return how much of a request may be neither its body nor needed for it.
+
+        A head and trailers may be of full size. The parser drops chunk extensions, and
+        reports a trailer only once it is complete.
+        """
+        return 2 * self._max_header_bytes + CHUNK_OVERHEAD_BYTES * self._body_pieces
 
     def next_request(self) -> HttpRequest | None:
         """Return the oldest complete request, or None."""
@@ -79,6 +92,7 @@
         self._request = HttpRequest()
         self._max_header_bytes = self.header_bytes
         self._body, self._head_size = bytearray(), 0
+        self._body_pieces = 0
         self.in_head = True
         self.receiving = True
 
@@ -110,6 +124,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body (called by the parser)."""
         self._body += body
+        self._body_pieces += 1
         if len(self._body) > self._max_body_bytes:
             self._refuse(413, "the body exceeds the size limit")
 
