Bound what the requests of all callers take in memory

Each request had a limit, all of them together had none: the only bound was the count of connections times bodyBytes. A header takes up to 44 times its bytes, and requests that wait behind another one took a kilobyte for 18 bytes received.

When it is full, unfinished requests are refused with 503 and Retry-After, those with the most bytes for the longest time without progress first: 503 is true, as none of their bytes were sent. A request that has no room then is refused itself; 64 KiB of each have a quarter more, so that short requests go on while long ones fill the rest, and the only long request is never refused. At most 16 requests wait behind another. A body is sent to the upstream without a copy.

Ruled out: refusing the newest (callers that stall would lock out all others); refusing the oldest (a burst of uploads would never end); a fixed share for each connection (a single body of bodyBytes must pass). On the smallest host of the sites (200 MB) there is room for 8 bodies of 4 MiB, on others for 12 to 23.

Still listed: unread answers and connections. New: NS2051, nutmegslip_refused_callers, nutmegslip_caller_connections.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -1,6 +1,13 @@
 """Decisions of an entry that sends to published upstreams without a sidecar."""
 
 from nutmegslip_decisions.direct._budget import RetryBudget, retry_budget
+from nutmegslip_decisions.direct._caller_limits import (
+    CallerLimits,
+    Holding,
+    HostLimits,
+    caller_limits,
+    holdings_to_refuse,
+)
 from nutmegslip_decisions.direct._connections import max_idle_connections
 from nutmegslip_decisions.direct._crash_parts import SUSPECT_CRASHES, part_report
 from nutmegslip_decisions.direct._demand_report import demand_report
@@ -110,6 +117,7 @@
     "AttemptFailed",
     "Blame",
     "Broken",
+    "CallerLimits",
     "CallerRequest",
     "CancelAttempt",
     "Configuration",
@@ -130,6 +138,8 @@
     "Hedge",
     "HedgeDue",
     "HedgeLimit",
+    "Holding",
+    "HostLimits",
     "ListingRead",
     "Measure",
     "Moved",
@@ -176,6 +186,7 @@
     "Withheld",
     "ZonesOut",
     "attempt_at",
+    "caller_limits",
     "counts_interval_ms",
     "demand_report",
     "depends_on_one_zone",
@@ -183,6 +194,7 @@
     "hedge_choice",
     "hedge_limit",
     "highest_fence",
+    "holdings_to_refuse",
     "is_near_bound",
     "is_over_bound",
     "is_paused",
--- /dev/null
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_caller_limits.py
@@ -0,0 +1,73 @@
+"""Choose which callers to disconnect when all of them together take too much.
+
+Answers the load pattern in which many callers send long requests at once, pause before
+the end of a request, or do not read their answers. Who holds the most bytes for the
+longest time without progress is refused first, so a caller that sends a short request,
+or a long one without a pause, is served while the others wait for nothing.
+"""
+
+from collections.abc import Iterable
+from itertools import accumulate
+from typing import NamedTuple
+
+from nutmegslip_decisions.model import Millis
+
+BYTES_PER_MB = 1_048_576
+RESERVED_DESCRIPTORS = 200  # the host keeps them for files
+HELD_SHARE = 1 / 6  # of the memory, for requests and answers
+CONNECTIONS_SHARE = 1 / 5  # of the memory
+CONNECTION_BYTES = 49_152  # of each caller: what the kernel holds unread, and objects
+MIN_CONNECTIONS = 16
+
+
+class HostLimits(NamedTuple):
+    """What the host allows the process."""
+
+    memory_mb: int = 256
+    file_descriptors: int = 1_024
+
+
+class CallerLimits(NamedTuple):
+    """What all callers together may take.
+
+    ``held_bytes`` are those of requests and answers, ``connections`` the open ones.
+    """
+
+    held_bytes: int
+    connections: int
+
+
+class Holding(NamedTuple):
+    """What one caller's connection holds, and when it last made progress."""
+
+    key: int
+    held_bytes: int
+    progressed_ms: Millis
+
+
+def caller_limits(host: HostLimits) -> CallerLimits:
+    """Return what callers may take on a host; half of the sockets go to upstreams."""
+    memory_bytes = host.memory_mb * BYTES_PER_MB
+    sockets = (host.file_descriptors - RESERVED_DESCRIPTORS) // 2
+    fitting = int(memory_bytes * CONNECTIONS_SHARE) // CONNECTION_BYTES
+    return CallerLimits(
+        held_bytes=int(memory_bytes * HELD_SHARE),
+        connections=max(min(sockets, fitting), MIN_CONNECTIONS),
+    )
+
+
+def holdings_to_refuse(
+    holdings: Iterable[Holding], excess_bytes: int, now_ms: Millis
+) -> tuple[Holding, ...]:
+    """Return the holdings to give up, so that so many bytes become free."""
+    ranked = sorted(
+        (holding for holding in holdings if holding.held_bytes),
+        key=lambda h: h.held_bytes * (now_ms - h.progressed_ms + 1),
+        reverse=True,
+    )
+    freed_before = accumulate((h.held_bytes for h in ranked), initial=0)
+    return tuple(
+        holding
+        for holding, freed in zip(ranked, freed_before, strict=False)
+        if freed < excess_bytes
+    )
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -9,9 +9,11 @@
 from gevent.socket import wait_read
 
 from nutmegslip_decisions.direct import RequestLimits
+from nutmegslip_entry.direct._caller_connections import CallerConnections
 from nutmegslip_runtime.http1 import (
     LAST_CHUNK,
     Header,
+    HeldBytes,
     HttpRequest,
     RequestFault,
     RequestReader,
@@ -24,11 +26,15 @@
     send_all,
 )
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384  # parsed in one turn, in pieces as small as the caller likes
+PROGRESS_BYTES = 16_384  # less at a time is not progress
+SMALL_REQUEST_BYTES = 65_536  # has room while longer requests take the rest
+RETRY_AFTER_S = (b"0.5", b"1.0", b"1.5", b"2.0")  # spreads the retries of a burst
 WRITE_STALL_TIMEOUT_S = 5.0  # a caller that reads nothing for longer is disconnected
 YIELD_BYTES = 65_536  # a read that never has to wait lets no other greenlet run
 LINGER_S = 1.0  # time for a caller to read a refusal before the close
 LINGER_BYTES = 4_194_304  # read meanwhile, as a close with unread bytes is a reset
+UNAVAILABLE_STATUS = 503
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -54,7 +60,9 @@
         )
         self._send(head + body)
 
-    def forward(self, answer: ResponseHead, body: bytes, head_only: bool) -> None:
+    def forward(
+        self, answer: ResponseHead, body: bytes | bytearray, head_only: bool
+    ) -> None:
         """Send an upstream's complete answer."""
         headers = end_to_end_headers(answer.headers)
         length = answer.header(b"content-length")
@@ -131,15 +139,21 @@
         limits: Callable[[], RequestLimits],
         is_stopping: Callable[[], bool],
         clock: Callable[[], int],
+        connections: CallerConnections,
     ) -> None:
         self._clock = clock
         self._socket = sock
         self._serve = serve
         self._limits = limits
         self._is_stopping = is_stopping
+        self._connections = connections
         self._reader = RequestReader(limits().header_bytes, limits().body_bytes)
         self._closing = False
         self._unyielded_bytes = 0
+        self._served_bytes = 0
+        self._moved_bytes = 0
+        self.held = HeldBytes(connections.bodies)
+        self.progressed_ms = clock()
         self.idle = True
 
     @property
@@ -151,13 +165,18 @@
         """Serve until either side closes."""
         configure_socket(self._socket)
         caller = Caller(self._socket)
+        self._connections.add(self)
         try:
             while (request := self._next_request()) is not None:
                 self.idle = False
+                self._served_bytes = request.held_bytes
                 caller.close_after = not request.keep_alive or self._is_stopping()
                 self._serve_watched(caller, request)
                 del request  # its body would be kept while the connection is idle
                 self.idle = True
+                self._served_bytes = 0
+                self.progressed_ms = self._clock()
+                self._update_held()
                 if caller.close_after or self._is_stopping():
                     break
         except RequestFault as fault:
@@ -165,21 +184,44 @@
         except (CallerDisconnected, OSError):
             pass  # the caller has disconnected; the exchange has ended the request
         finally:
+            self._connections.discard(self)
             self._socket.close()
 
     def close_if_idle(self) -> None:
         """Close the connection if no request has begun on it."""
         if not self.is_busy:
-            self._closing = True
-            self._shut_down(socket.SHUT_RDWR)
+            self._close_now()
 
     def reset_if_busy(self) -> None:
         """Reset the connection if a partial answer could look complete.
 
         An idle one may still have to deliver the last bytes of a complete answer.
         """
-        if not self.is_busy:
-            return
+        if self.is_busy:
+            self._reset()
+
+    def give_up(self) -> None:
+        """Refuse the request that is being read."""
+        self._send_refusal()
+        self._shut_down(socket.SHUT_WR)
+        # What still arrives is read until then, as a close would reset the connection.
+        gevent.spawn_later(LINGER_S, self._shut_down, socket.SHUT_RDWR)
+
+    def _send_refusal(self) -> None:
+        """Refuse the unfinished request from another greenlet than its own."""
+        self._closing = True
+        self._reader.drop()
+        self.held.resize(0)
+        refusal = encode_head(503, [self._retry_after()], length=0, close=True)
+        self._socket.settimeout(0)
+        with contextlib.suppress(OSError):  # the caller disconnected before
+            self._socket.send(refusal)
+
+    def _close_now(self) -> None:
+        self._closing = True
+        self._shut_down(socket.SHUT_RDWR)
+
+    def _reset(self) -> None:
         with contextlib.suppress(OSError):  # already closed
             reset_on_close(self._socket)
         self._socket.close()
@@ -230,22 +272,27 @@
             self._reader.header_bytes = limits.header_bytes
             self._reader.body_bytes = limits.body_bytes
             self._reader.feed(data)
+            self._count_received(len(data))
             if self._reader.expects_continue:
                 self._socket.sendall(CONTINUE_RESPONSE)
                 self._reader.expects_continue = False
         return request
 
     def _receive(self, timeout_s: float) -> bytes:
+        """Return the next bytes, empty if the connection ends."""
         self._socket.settimeout(timeout_s)
         try:
             data = self._socket.recv(READ_BYTES)
+            self._let_others_run(len(data))
+            while self._closing and data:  # they are dropped: no answer can be sent
+                self._socket.settimeout(LINGER_S)
+                data = self._socket.recv(READ_BYTES)
+                self._let_others_run(len(data))
         except TimeoutError as error:
             if self._reader.receiving:
                 raise RequestFault(408, "the request timed out") from error
             return b""
-        self._let_others_run(len(data))
-        # Bytes received after the close are dropped: no answer can be sent.
-        return b"" if self._closing else data
+        return data
 
     def _let_others_run(self, received: int) -> None:
         self._unyielded_bytes += received
@@ -253,10 +300,33 @@
             self._unyielded_bytes = 0
             gevent.sleep(0)
 
+    def _count_received(self, received: int) -> None:
+        """Count what the request takes; raise RequestFault if there is no room."""
+        self._note_progress(received)
+        self._connections.allow_refusal(self, self._reader.is_unfinished)
+        self._update_held()
+        is_long = self.held.is_over_share(SMALL_REQUEST_BYTES)
+        if is_long or self._connections.bodies.is_exhausted:
+            self._connections.report("memory")
+            raise RequestFault(503, "the requests of all callers take too much memory")
+
+    def _update_held(self) -> None:
+        self.held.resize(self._reader.held_bytes + self._served_bytes)
+
+    def _note_progress(self, moved_bytes: int) -> None:
+        """Note that bytes were moved; a few at a time are no progress."""
+        self._moved_bytes += moved_bytes
+        if self._moved_bytes >= PROGRESS_BYTES or not self.held.length:
+            self._moved_bytes = 0
+            self.progressed_ms = self._clock()
+
     def _refuse(self, caller: Caller, fault: RequestFault) -> None:
         caller.close_after = True
+        self._reader.drop()
+        self.held.resize(0)
+        headers = [self._retry_after()] if fault.status == UNAVAILABLE_STATUS else []
         try:
-            caller.answer(fault.status, [], b"")
+            caller.answer(fault.status, headers, b"")
             self._shut_down(socket.SHUT_WR)
             received = 0
             with gevent.Timeout(LINGER_S, False):
@@ -268,6 +338,9 @@
         except (CallerDisconnected, OSError):
             pass  # the caller disconnected before it read the refusal
 
+    def _retry_after(self) -> Header:
+        return b"retry-after", RETRY_AFTER_S[id(self) // 64 % len(RETRY_AFTER_S)]
+
     def _shut_down(self, how: int) -> None:
         with contextlib.suppress(OSError):  # already closed
             self._socket.shutdown(how)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -50,11 +50,13 @@
     NotConnected,
     ResponseHead,
     encode_request,
+    encode_request_head,
 )
 
 SEND_STALL_TIMEOUT_S = 1.0  # the attempt fails if the upstream reads nothing
 REJECTION_BODY_TIMEOUT_MS = 250  # the head has said already what matters
 REJECTION_BODY_BYTES = 65_536
+JOINED_SEND_BYTES = 65_536  # a longer body is sent after the head, not copied to it
 MAX_OTHER_ANSWERS = 8  # late ones, before the answer to a request
 FIRST_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
@@ -103,7 +105,8 @@
     ) -> CallerRequest:
         timeout_ms = fields.timeout_ms
         host = (http_request.header(b"host") or b"").decode("latin-1").lower()
-        asked = b"\n".join((host.encode(), http_request.target, http_request.body))
+        asked = xxhash.xxh3_64(b"%s\n%s\n" % (host.encode(), http_request.target))
+        asked.update(http_request.body)
         return CallerRequest(
             ticket=ticket,
             request_id=fields.request_id,
@@ -114,7 +117,7 @@
                 None if timeout_ms is None else self._machine.clock() + timeout_ms
             ),
             parts=fields.shared_parts,
-            fingerprint=xxhash.xxh3_64_hexdigest(asked),
+            fingerprint=asked.hexdigest(),
         )
 
 
@@ -227,10 +230,18 @@
         headers = self._header_codec.upstream_headers(
             http_request, request, upstream, remaining_ms, self._events.last_id
         )
-        data = encode_request(
-            http_request.method, http_request.target, headers, http_request.body
+        method, target, body = (
+            http_request.method,
+            http_request.target,
+            http_request.body,
         )
-        connection.send(data, SEND_STALL_TIMEOUT_S)
+        if len(body) <= JOINED_SEND_BYTES:
+            data = encode_request(method, target, headers, body)
+            connection.send(data, SEND_STALL_TIMEOUT_S)
+            return True
+        head = encode_request_head(method, target, headers, len(body))
+        connection.send(head, SEND_STALL_TIMEOUT_S)
+        connection.send(body, SEND_STALL_TIMEOUT_S)
         return True
 
     def _relay_answer(
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -88,7 +88,7 @@
         )
         self._held_body_bytes = Gauge(
             "nutmegslip_held_body_bytes",
-            "Bytes of answers that are being read as a whole.",
+            "Bytes of callers' requests, and of answers that are read or sent.",
             registry=self.registry,
         )
         self._refused_bodies = Gauge(
@@ -96,6 +96,17 @@
             "Long answers given up since all bodies together took too much memory.",
             registry=self.registry,
         )
+        self._caller_connections = Gauge(
+            "nutmegslip_caller_connections",
+            "Open connections of callers.",
+            registry=self.registry,
+        )
+        self._refused_callers = Counter(
+            "nutmegslip_refused_callers",
+            "Connections of callers that were ended, by the limit that was reached.",
+            ["limit"],
+            registry=self.registry,
+        )
         self._hedges = Gauge(
             "nutmegslip_hedges",
             "Second attempts of slow requests that this entry sent in the window.",
@@ -164,6 +175,14 @@
         self._held_body_bytes.set(pool.held_bodies.held_bytes)
         self._refused_bodies.set(pool.held_bodies.refused)
 
+    def count_refused_caller(self, limit: str) -> None:
+        """Count a connection of a caller that was ended for a limit."""
+        self._refused_callers.labels(limit).inc()
+
+    def update_callers(self, connections: int) -> None:
+        """Set how many connections of callers are open."""
+        self._caller_connections.set(connections)
+
     def update_gauges(self, state: State, store_calls: int, now_ms: Millis) -> None:
         """Set the gauges from a state."""
         configuration = state.configuration
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
@@ -19,14 +19,17 @@
     """
 
     def __init__(
-        self, clock: Callable[[], int], max_idle: Callable[[Upstream], int]
+        self,
+        clock: Callable[[], int],
+        max_idle: Callable[[Upstream], int],
+        held_bodies: HeldBodies | None = None,
     ) -> None:
         self._clock = clock
         self._max_idle = max_idle
         self._idle: dict[tuple, list[ClientConnection]] = defaultdict(list)
         self.opened = 0
         self.reused = 0
-        self.held_bodies = HeldBodies()
+        self.held_bodies = held_bodies or HeldBodies()
 
     def acquire(
         self, upstream: Upstream, deadline_ms: int, *, fresh: bool
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -24,6 +24,7 @@
     max_idle_connections,
 )
 from nutmegslip_decisions.experts.rollout import IDENTITY_COUNT
+from nutmegslip_entry.direct._caller_connections import CallerConnections
 from nutmegslip_entry.direct._callers import (
     Caller,
     CallerDisconnected,
@@ -114,11 +115,17 @@
                 settings.first_start,
             ),
         )
+        self._connections = CallerConnections(
+            direct.caller_limits(settings.host_limits),
+            boottime_ms,
+            self._report_refused_caller,
+        )
         self._pool = Pool(
             boottime_ms,
             lambda upstream: max_idle_connections(
                 self._machine.state, upstream.service
             ),
+            self._connections.bodies,
         )
         self._exchanges = Exchanges(self._machine, header_codec, self._pool, count(1))
         self._feed = make_feed(
@@ -144,7 +151,6 @@
             lambda: self._feed.position,
             self._log,
         )
-        self._connections: set[Connection] = set()
         self._stopping = False
         self._stop_requested = Flag()
 
@@ -195,18 +201,28 @@
     ) -> StreamServer:
         def handle(sock, _peer: object) -> None:
             connection = Connection(
-                sock, serve, self._limits, lambda: self._stopping, boottime_ms
+                sock,
+                serve,
+                self._limits,
+                lambda: self._stopping,
+                boottime_ms,
+                self._connections,
             )
-            self._connections.add(connection)
-            try:
-                connection.run()
-            finally:
-                self._connections.discard(connection)
+            connection.run()
 
         server = StreamServer(address, handle, backlog=LISTEN_BACKLOG)
         server.start()
         return server
 
+    def _report_refused_caller(self, reason: str) -> None:
+        self._metrics.count_refused_caller(reason)
+        self._log.emit(
+            "caller-refused",
+            reason=reason,
+            held_bytes=self._connections.bodies.held_bytes,
+            connections=len(self._connections),
+        )
+
     def _limits(self) -> RequestLimits:
         configuration = self._machine.state.configuration
         return configuration.limits if configuration else RequestLimits()
@@ -235,6 +251,7 @@
             self._feed.position.revision, boottime_ms() - self._feed.answered_ms
         )
         self._metrics.update_pool(self._pool)
+        self._metrics.update_callers(len(self._connections))
         caller.answer(
             200, [METRICS_CONTENT_TYPE], generate_latest(self._metrics.registry)
         )
@@ -299,12 +316,12 @@
         gevent.sleep(LEAVE_ROTATION_MS / 1_000)
         accept_waiting(callers)
         gevent.sleep(0)  # lets the accepted connections read what has arrived
-        for connection in tuple(self._connections):
+        for connection in self._connections:
             connection.close_if_idle()
         while self._has_busy_callers() and boottime_ms() < end_ms:
             gevent.sleep(TICK_INTERVAL_S)
         done = not self._has_busy_callers()
-        for connection in tuple(self._connections):
+        for connection in self._connections:
             connection.reset_if_busy()
         self._log.emit("drained" if done else "drain-timed-out")
         return ExitCode.OK if done else ExitCode.DRAIN_TIMED_OUT
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_settings.py
@@ -1,13 +1,14 @@
 """Read and check the settings of an entry that sends to upstreams directly."""
 
 import pathlib
+import resource
 import tomllib
 from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from expression import Error, Ok, Result
 
-from nutmegslip_decisions.direct import Options
+from nutmegslip_decisions.direct import HostLimits, Options
 
 
 class _Process(TypedDict):
@@ -16,6 +17,8 @@
     log_level: NotRequired[str]
     metrics_port: NotRequired[int]
     first_start: NotRequired[bool]
+    memory_mb: NotRequired[int]
+    file_descriptors: NotRequired[int]
 
 
 class _Listen(TypedDict):
@@ -72,6 +75,7 @@
     options: Options
     stop_grace_ms: int
     first_start: bool
+    host_limits: HostLimits
 
 
 class SettingsError(NamedTuple):
@@ -111,9 +115,22 @@
         options=_options(sections),
         stop_grace_ms=int(sections["bounds"].get("stop_grace_s", 8) * 1_000),
         first_start=process.get("first_start", False),
+        host_limits=_host_limits(process),
     )
 
 
+def _host_limits(process: _Process) -> HostLimits:
+    own_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limits = HostLimits(
+        process.get("memory_mb", HostLimits().memory_mb),
+        process.get("file_descriptors", own_limit),
+    )
+    for key, value in limits._asdict().items():
+        if value <= 0:
+            raise ValueError(f"process.{key} is {value}, which is not above 0")
+    return limits
+
+
 def _options(sections: _File) -> Options:
     process, fleet, bounds = sections["process"], sections["fleet"], sections["bounds"]
     peers_host, _ = _address(sections["listen"]["peers"])
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/eventlog/_direct_events.py
@@ -373,6 +373,16 @@
         "If this recurs, check how much is written to the store and the link to it.",
         ("reason",),
     ),
+    EventKind(
+        2051,
+        "caller-refused",
+        Level.WARNING,
+        "A caller's connection was ended, as all callers together reached a limit: "
+        "'memory' for requests and answers, or 'connections'.",
+        "If it recurs, look for callers that send long requests or pause within them, "
+        "or that do not read their answers; else add entries.",
+        ("reason", "held_bytes", "connections"),
+    ),
     EventKind(
         2101,
         "request-sent",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/__init__.py
@@ -17,9 +17,10 @@
     encode_chunk,
     encode_head,
     encode_request,
+    encode_request_head,
     end_to_end_headers,
 )
-from nutmegslip_runtime.http1._held_bodies import HeldBodies
+from nutmegslip_runtime.http1._held_bodies import HeldBodies, HeldBytes
 from nutmegslip_runtime.http1._requests import (
     HttpRequest,
     RequestFault,
@@ -42,6 +43,7 @@
     "Framing",
     "Header",
     "HeldBodies",
+    "HeldBytes",
     "HttpRequest",
     "NotConnected",
     "RequestFault",
@@ -51,6 +53,7 @@
     "encode_chunk",
     "encode_head",
     "encode_request",
+    "encode_request_head",
     "end_to_end_headers",
     "reset_on_close",
     "send_all",
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -204,7 +204,7 @@
                 body.append(piece)
                 if body.length > max_bytes:
                     raise BodyTooLong(f"the body exceeds {max_bytes} bytes")
-                if body.is_over_share:
+                if body.is_over_share():
                     raise ConnectionBroken("the process holds too many long bodies")
             return body.content()
 
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_encoding.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_encoding.py
@@ -54,13 +54,20 @@
 def encode_request(
     method: bytes, target: bytes, headers: Iterable[Header], body: bytes
 ) -> bytes:
-    """Return a complete request; POST, PUT and PATCH always have a length."""
-    has_length = body or method in (b"POST", b"PUT", b"PATCH")
+    """Return a complete request."""
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: bytes, target: bytes, headers: Iterable[Header], body_length: int
+) -> bytes:
+    """Return the head of a request; POST, PUT and PATCH always have a length."""
+    has_length = body_length or method in (b"POST", b"PUT", b"PATCH")
     lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
     lines += [b"%s: %s\r\n" % header for header in headers]
     if has_length:
-        lines.append(b"content-length: %d\r\n" % len(body))
-    return b"".join([*lines, b"\r\n", body])
+        lines.append(b"content-length: %d\r\n" % body_length)
+    return b"".join([*lines, b"\r\n"])
 
 
 def encode_head(
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_requests.py
@@ -8,6 +8,9 @@
 from nutmegslip_runtime.http1._encoding import Header
 
 HEADER_OVERHEAD_BYTES = 4  # colon, space and line end of a header line
+HEADER_OBJECT_BYTES = 176  # of a header's name, value and pair
+REQUEST_OBJECT_BYTES = 1_024  # of a request without its headers and its body
+MAX_PIPELINED_REQUESTS = 16  # that wait for the answers to earlier ones
 CHUNK_OVERHEAD_BYTES = 20  # a length of 16 digits and two line ends
 
 
@@ -29,6 +32,13 @@
     body: bytes | bytearray = b""
     version: str = "1.1"
     keep_alive: bool = True
+    head_bytes: int = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return about what the request takes in memory."""
+        objects = REQUEST_OBJECT_BYTES + HEADER_OBJECT_BYTES * len(self.headers)
+        return objects + self.head_bytes + len(self.body)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first header of a lower-case name."""
@@ -50,7 +60,6 @@
         self._parser = httptools.HttpRequestParser(self)
         self._complete: deque[HttpRequest] = deque()
         self._request = HttpRequest()
-        self._head_size = 0
         self._body = bytearray()
         self._body_pieces = 0
         self._fault: RequestFault | None = None
@@ -74,6 +83,19 @@
         if self._received_bytes - len(self._body) > self._max_framing_bytes:
             raise RequestFault(400, "the framing of the body exceeds the size limit")
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether a request is incomplete, and none waits to be served."""
+        return self.receiving and not self._complete
+
+    @property
+    def held_bytes(self) -> int:
+        """Return about what the unfinished and the waiting requests take in memory."""
+        waiting = sum(request.held_bytes for request in self._complete)
+        if not self.receiving:
+            return waiting
+        return waiting + self._request.held_bytes + len(self._body)
+
     @property
     def _max_framing_bytes(self) -> int:
         """Return how much of a request may be neither its body nor needed for it.
@@ -87,11 +109,17 @@
         """Return the oldest complete request, or None."""
         return self._complete.popleft() if self._complete else None
 
+    def drop(self) -> None:
+        """Drop all requests; the reader must not be fed again."""
+        self._complete.clear()
+        self._request, self._body = HttpRequest(), bytearray()
+        self.receiving = False
+
     def on_message_begin(self) -> None:
         """Begin a request (called by the parser)."""
         self._request = HttpRequest()
         self._max_header_bytes = self.header_bytes
-        self._body, self._head_size = bytearray(), 0
+        self._body = bytearray()
         self._body_pieces = 0
         self.in_head = True
         self.receiving = True
@@ -131,6 +159,8 @@
     def on_message_complete(self) -> None:
         """Store the complete request (called by the parser)."""
         self._request.body = self._body
+        if len(self._complete) > MAX_PIPELINED_REQUESTS:
+            self._refuse(429, "too many requests wait for the answer to another")
         self._complete.append(self._request)
         # An idle connection keeps nothing of its last request.
         self._request, self._body = HttpRequest(), bytearray()
@@ -139,8 +169,8 @@
         self._received_bytes = 0
 
     def _count_head(self, size: int) -> None:
-        self._head_size += size
-        if self._head_size > self._max_header_bytes:
+        self._request.head_bytes += size
+        if self._request.head_bytes > self._max_header_bytes:
             self._refuse(431, "the head exceeds the size limit")
 
     def _refuse(self, status: int, detail: str) -> None:
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -10,6 +10,7 @@
     ConfigurationPublished,
     Effect,
     Event,
+    HostLimits,
     ListingRead,
     Options,
     PeerReported,
@@ -21,9 +22,12 @@
     State,
     Target,
     Upstream,
+    caller_limits,
     load_report,
     part_report,
 )
+from nutmegslip_entry.direct._caller_connections import CallerConnections
+from nutmegslip_runtime.clock import boottime_ms
 
 HOST = "hymns.example"
 KEY = "key-1"
@@ -147,3 +151,10 @@
             self.tickets, name, HOST, path, key, deadline_ms, parts, fingerprint
         )
         return self.take(RequestArrived(self.now_ms, caller_request))
+
+
+def caller_connections() -> CallerConnections:
+    """Return the connections of an entry on a host of the usual size."""
+    refusals: list[str] = []
+    limits = caller_limits(HostLimits())
+    return CallerConnections(limits, boottime_ms, refusals.append)
--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -8,6 +8,7 @@
 from nutmegslip_decisions.direct import RequestLimits
 from nutmegslip_entry.direct import Connection
 from nutmegslip_runtime.clock import boottime_ms
+from tests.direct_world import caller_connections
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 
@@ -22,7 +23,12 @@
         self.served = []
         self.limits = RequestLimits()
         self.connection = Connection(
-            server_socket, self._serve, self._limits, lambda: False, boottime_ms
+            server_socket,
+            self._serve,
+            self._limits,
+            lambda: False,
+            boottime_ms,
+            caller_connections(),
         )
         self.addCleanup(self.caller.close)
 
--- a/tests/test_direct_races.py
+++ b/tests/test_direct_races.py
@@ -38,7 +38,7 @@
     encode_head,
     encode_request,
 )
-from tests.direct_world import ROUTES, configuration, upstream
+from tests.direct_world import ROUTES, caller_connections, configuration, upstream
 
 OPTIONS = Options(
     "entry-1", budget_slack=100.0, hedge_max_share=0.9, hedge_after_quantile=0.9
@@ -126,7 +126,12 @@
             caller = socket.create_connection(listener.getsockname())
             served, _ = listener.accept()
         connection = Connection(
-            served, exchanges.serve, RequestLimits, lambda: False, boottime_ms
+            served,
+            exchanges.serve,
+            RequestLimits,
+            lambda: False,
+            boottime_ms,
+            caller_connections(),
         )
         gevent.spawn(connection.run)
         self.caller = ClientConnection(caller, boottime_ms)
--- a/tests/test_direct_resumed_streams.py
+++ b/tests/test_direct_resumed_streams.py
@@ -39,7 +39,13 @@
     encode_request,
     reset_on_close,
 )
-from tests.direct_world import ROUTES, World, configuration, upstream
+from tests.direct_world import (
+    ROUTES,
+    World,
+    caller_connections,
+    configuration,
+    upstream,
+)
 
 EVENTS = 5
 ATTEMPTS = 3
@@ -166,7 +172,12 @@
             ours = socket.create_connection(listener.getsockname())
             served, _ = listener.accept()
         connection = Connection(
-            served, self._exchanges.serve, RequestLimits, lambda: False, boottime_ms
+            served,
+            self._exchanges.serve,
+            RequestLimits,
+            lambda: False,
+            boottime_ms,
+            caller_connections(),
         )
         server = gevent.spawn(connection.run)
         ticks = gevent.spawn(_tick)
