Bound the connections of callers and what the kernel holds for each

Each connection could also have 128 KiB or more in the kernel, received and not read, which is memory of the host as well.

A new connection replaces the one that has been idle for the longest time, which callers expect of idle connections, else an unfinished request, which is told 503. At most 16 are accepted before those that they replace are closed. The balancer's probes and the metrics have 16 connections of their own, so that a crowd of callers does not take a sound entry out of the rotation.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -6,6 +6,7 @@
     Holding,
     HostLimits,
     caller_limits,
+    connection_to_close,
     holdings_to_refuse,
 )
 from nutmegslip_decisions.direct._connections import max_idle_connections
@@ -187,6 +188,7 @@
     "ZonesOut",
     "attempt_at",
     "caller_limits",
+    "connection_to_close",
     "counts_interval_ms",
     "demand_report",
     "depends_on_one_zone",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_caller_limits.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_caller_limits.py
@@ -3,7 +3,8 @@
 Answers the load pattern in which many callers send long requests at once, pause before
 the end of a request, or do not read their answers. Who holds the most bytes for the
 longest time without progress is refused first, so a caller that sends a short request,
-or a long one without a pause, is served while the others wait for nothing.
+or a long one without a pause, is served while the others wait for nothing. Connections
+beyond the limit take the place of the one that has been idle for the longest time.
 """
 
 from collections.abc import Iterable
@@ -71,3 +72,18 @@
         for holding, freed in zip(ranked, freed_before, strict=False)
         if freed < excess_bytes
     )
+
+
+def connection_to_close(
+    idle: Iterable[Holding], unfinished: Iterable[Holding]
+) -> Holding | None:
+    """Return the connection that a new one replaces, None if all serve requests.
+
+    Callers expect that idle connections may be closed at any time. Without one, the
+    request that has made no progress for the longest time is refused.
+    """
+    for candidates in (idle, unfinished):
+        oldest = min(candidates, key=lambda h: h.progressed_ms, default=None)
+        if oldest is not None:
+            return oldest
+    return None
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_caller_connections.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_caller_connections.py
@@ -6,6 +6,7 @@
 from nutmegslip_decisions.direct import (
     CallerLimits,
     Holding,
+    connection_to_close,
     holdings_to_refuse,
 )
 from nutmegslip_runtime.http1 import HeldBodies, HeldBytes
@@ -22,14 +23,21 @@
     held: HeldBytes
     progressed_ms: int
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is being read or served."""
+
     def give_up(self) -> None:
         """Refuse the request that is being read, or end the answer being sent."""
 
+    def disconnect(self) -> None:
+        """Close the connection now, with a refusal if a request is being read."""
+
 
 class CallerConnections:
     """The open connections of callers, and the bytes held for them.
 
-    ``on_refused`` is told which limit ended a connection.
+    ``on_refused`` is told why a connection was ended: "memory" or "connections".
     """
 
     def __init__(
@@ -38,6 +46,7 @@
         clock: Callable[[], int],
         on_refused: Callable[[str], None],
     ) -> None:
+        self._limits = limits
         self._clock = clock
         self._on_refused = on_refused
         self._open: dict[int, Refusable] = {}
@@ -56,7 +65,9 @@
         return iter(tuple(self._open.values()))
 
     def add(self, connection: Refusable) -> None:
-        """Add a new connection."""
+        """Add a new connection; end another one if there are too many."""
+        if len(self._open) >= self._limits.connections:
+            self._replace_one(connection)
         self._open[id(connection)] = connection
 
     def discard(self, connection: Refusable) -> None:
@@ -76,6 +87,14 @@
         """Report that a connection has ended itself for a limit."""
         self._on_refused(reason)
 
+    def _replace_one(self, new: Refusable) -> None:
+        idle = (_holding(c) for c in self._open.values() if not c.is_busy)
+        chosen = connection_to_close(idle, map(_holding, self._refusable.values()))
+        self._on_refused("connections")
+        replaced = new if chosen is None else self._open.pop(chosen.key)
+        self._refusable.pop(id(replaced), None)
+        replaced.disconnect()
+
     def _make_room(self, grown: HeldBytes, excess_bytes: int) -> None:
         holdings = [
             _holding(connection)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -6,6 +6,7 @@
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 
 import gevent
+import gevent.socket
 from gevent.server import StreamServer
 from gevent.socket import wait_read
 
@@ -28,12 +29,15 @@
 )
 
 READ_BYTES = 16_384  # parsed in one turn, in pieces as small as the caller likes
+RECEIVE_BUFFER_BYTES = 16_384  # the kernel doubles it, and holds that much unread
 PROGRESS_BYTES = 16_384  # less at a time is not progress
 SMALL_REQUEST_BYTES = 65_536  # has room while longer requests take the rest
 SMALL_SEND_BYTES = 4_096  # of which each connection may hold one
 JOINED_SEND_BYTES = 65_536  # a longer body is sent after the head, not copied to it
 RETRY_AFTER_S = (b"0.5", b"1.0", b"1.5", b"2.0")  # spreads the retries of a burst
 WRITE_STALL_TIMEOUT_S = 5.0  # a caller that reads nothing for longer is disconnected
+LISTEN_BACKLOG = 512
+MAX_ACCEPTED_TOGETHER = 16  # before those that they replace are closed
 YIELD_BYTES = 65_536  # a read that never has to wait lets no other greenlet run
 LINGER_S = 1.0  # time for a caller to read a refusal before the close
 LINGER_BYTES = 4_194_304  # read meanwhile, as a close with unread bytes is a reset
@@ -146,6 +150,16 @@
 RequestHandler = Callable[[Caller, HttpRequest], None]
 
 
+def listen(address: tuple[str, int]) -> socket.socket:
+    """Return a socket that listens; its connections have a small receive buffer."""
+    listener = gevent.socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.bind(address)
+    listener.listen(LISTEN_BACKLOG)
+    return listener
+
+
 def accept_waiting(server: StreamServer) -> None:
     """Accept the connections that wait in a server's backlog, and close the server.
 
@@ -239,6 +253,15 @@
         # What still arrives is read until then, as a close would reset the connection.
         gevent.spawn_later(LINGER_S, self._shut_down, socket.SHUT_RDWR)
 
+    def disconnect(self) -> None:
+        """Close the connection now, with a refusal if a request is being read."""
+        if self._is_sending:
+            self._reset()
+            return
+        if self._reader.receiving:
+            self._send_refusal()
+        self._close_now()
+
     def _send_refusal(self) -> None:
         """Refuse the unfinished request from another greenlet than its own."""
         self._closing = True
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 from collections.abc import Callable
-from itertools import count
+from itertools import chain, count
 from typing import Protocol
 
 import gevent
@@ -15,6 +15,7 @@
 
 from nutmegslip_decisions import direct
 from nutmegslip_decisions.direct import (
+    CallerLimits,
     Event,
     OptionsChanged,
     RequestLimits,
@@ -26,10 +27,12 @@
 from nutmegslip_decisions.experts.rollout import IDENTITY_COUNT
 from nutmegslip_entry.direct._caller_connections import CallerConnections
 from nutmegslip_entry.direct._callers import (
+    MAX_ACCEPTED_TOGETHER,
     Caller,
     CallerDisconnected,
     Connection,
     accept_waiting,
+    listen,
 )
 from nutmegslip_entry.direct._exchange import Exchanges
 from nutmegslip_entry.direct._expert_maps import ExpertMapManager, RankClient
@@ -51,7 +54,7 @@
 LONG_TURN_MS = 250  # streams of all callers stand still meanwhile
 TASK_RESTART_DELAY_S = 0.25
 PROCESS_ID_COUNT = 2**32
-LISTEN_BACKLOG = 512
+PROBE_LIMITS = CallerLimits(held_bytes=1_048_576, connections=16)
 LAST_LINES_TIMEOUT_S = 0.3  # within the stop margin
 LEAVE_ROTATION_MS = 2_500  # balancers probe each second and remove after two failures
 STOP_MARGIN_MS = 500  # subtracted from the grace period, to exit before a kill
@@ -120,6 +123,9 @@
             boottime_ms,
             self._report_refused_caller,
         )
+        self._probes = CallerConnections(
+            PROBE_LIMITS, boottime_ms, self._report_refused_caller
+        )
         self._pool = Pool(
             boottime_ms,
             lambda upstream: max_idle_connections(
@@ -171,9 +177,9 @@
                 self._run_housekeeping,
             )
         ]
-        callers = self._listen(self._settings.callers, self._serve)
-        self._listen(self._settings.ready, self._serve_ready)
-        self._listen(self._settings.metrics, self._serve_metrics)
+        callers = self._listen(self._settings.callers, self._serve, self._connections)
+        self._listen(self._settings.ready, self._serve_ready, self._probes)
+        self._listen(self._settings.metrics, self._serve_metrics, self._probes)
         self._watchdog.start()
         self._log.emit("process-started")
         self._log.flush()
@@ -198,6 +204,7 @@
         self,
         address: tuple[str, int],
         serve: Callable[[Caller, HttpRequest], None],
+        connections: CallerConnections,
     ) -> StreamServer:
         def handle(sock, _peer: object) -> None:
             connection = Connection(
@@ -206,11 +213,12 @@
                 self._limits,
                 lambda: self._stopping,
                 boottime_ms,
-                self._connections,
+                connections,
             )
             connection.run()
 
-        server = StreamServer(address, handle, backlog=LISTEN_BACKLOG)
+        server = StreamServer(listen(address), handle)
+        server.max_accept = MAX_ACCEPTED_TOGETHER
         server.start()
         return server
 
@@ -316,18 +324,19 @@
         gevent.sleep(LEAVE_ROTATION_MS / 1_000)
         accept_waiting(callers)
         gevent.sleep(0)  # lets the accepted connections read what has arrived
-        for connection in self._connections:
+        for connection in chain(self._connections, self._probes):
             connection.close_if_idle()
         while self._has_busy_callers() and boottime_ms() < end_ms:
             gevent.sleep(TICK_INTERVAL_S)
         done = not self._has_busy_callers()
-        for connection in self._connections:
+        for connection in chain(self._connections, self._probes):
             connection.reset_if_busy()
         self._log.emit("drained" if done else "drain-timed-out")
         return ExitCode.OK if done else ExitCode.DRAIN_TIMED_OUT
 
     def _has_busy_callers(self) -> bool:
-        return any(connection.is_busy for connection in self._connections)
+        connections = chain(self._connections, self._probes)
+        return any(connection.is_busy for connection in connections)
 
 
 def _modified_ns(file: str) -> int:
--- a/tests/test_direct_caller_limits.py
+++ b/tests/test_direct_caller_limits.py
@@ -8,6 +8,7 @@
     Holding,
     HostLimits,
     caller_limits,
+    connection_to_close,
     holdings_to_refuse,
 )
 
@@ -59,6 +60,18 @@
         self.assertEqual(held[0][0], 4_194_304)
 
 
+class ConnectionTests(unittest.TestCase):
+    def test_the_oldest_idle_connection_is_replaced_first(self):
+        cases = (
+            ((SHORT, UPLOADING), (STALLED,), SHORT),
+            ((), (UPLOADING, STALLED), STALLED),
+            ((), (), None),
+        )
+        for idle, unfinished, expected in cases:
+            with self.subTest(idle=idle, unfinished=unfinished):
+                self.assertEqual(connection_to_close(idle, unfinished), expected)
+
+
 class LimitTests(unittest.TestCase):
     def test_limits_grow_with_the_host_and_leave_room_for_the_process(self):
         hosts = [HostLimits(96, 400), HostLimits(200, 4_100), HostLimits(552, 8_192)]
