Break off answers whose status HTTP does not have

Asked for by the report that a runner's answer with the status 000 reached a client as an answer. Here it did not: the parser accepts any three digits, and below 200 an answer counted as an interim one, so its caller waited until the timeout of the route and got 504.

--- a/fakes/runners/_faults.py
+++ b/fakes/runners/_faults.py
@@ -14,6 +14,8 @@
     RESET = "reset"  # runs the request and resets the connection
     SILENT = "silent"  # runs the request and never responds
     RUBBISH = "rubbish"  # responds with bytes that are not HTTP
+    STATUS_000 = "status-000"  # responds with this status, otherwise soundly
+    STATUS_600 = "status-600"  # the same; HTTP ends at 599
     SHORT = "short"  # the body is shorter than its Content-Length
     UNSEALED = "unsealed"  # a success without the response seal
     NO_LENGTH = "no-length"  # no Content-Length; closing ends the body
--- a/fakes/runners/_runner.py
+++ b/fakes/runners/_runner.py
@@ -233,6 +233,10 @@
                 raise OSError("connection closed by an injected fault")
             case fault if fault in ENDLESS:
                 self._send_without_end(sock, request)
+            case Fault.STATUS_000 | Fault.STATUS_600:
+                status = self.fault.removeprefix("status-").encode()
+                sound = encode_head(200, headers, length=3) + b"bad"
+                sock.sendall(sound.replace(b" 200 ", b" %s " % status, 1))
             case Fault.ERROR:
                 sock.sendall(encode_head(500, headers, length=3) + b"bad")
             case _ if self.events:
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -26,6 +26,7 @@
 MAX_UNREAD_PIECES = 64  # further pieces of a body are joined with the last one
 YIELD_BYTES = 65_536  # a read that never has to wait lets no other greenlet run
 FIRST_FINAL_STATUS = 200
+VALID_STATUSES = range(100, 600)
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[\s,;])timeout\s*=\s*(\d{1,9})", re.IGNORECASE)
 
 
@@ -278,7 +279,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._keep_alive = False
             if not self._parts:
-                raise ConnectionBroken(f"no HTTP: {error}") from error
+                reason = error.__context__ or error  # of an error in a callback
+                raise ConnectionBroken(f"no HTTP: {reason}") from error
             if self._parts[-1] is not _END_OF_BODY:
                 # Return the parsed parts first; the read after them raises this error.
                 self._parser = _FailedParser(error)
@@ -300,6 +302,8 @@
     def on_headers_complete(self) -> None:
         """Complete the head (called by the parser)."""
         status = self._parser.get_status_code()
+        if status not in VALID_STATUSES:
+            raise ValueError(f"the status {status:03} is none of HTTP")
         self._framing = _framing(status, self._headers, self._head_request)
         keep_alive = (
             self._parser.should_keep_alive() and self._framing is not Framing.CLOSE
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -80,6 +80,7 @@
 _NOTICES = (Action.LEAVE, Action.PAUSE, Action.RESTORE)
 _PLANNED_APART = (*_NOTICES, Action.LIMIT, Action.ODD_ENTRY, Action.UPGRADE)
 _OTHERS = tuple(action for action in Action if action not in _PLANNED_APART)
+_STATUS_FAULTS = (Fault.STATUS_000, Fault.STATUS_600)
 _ODD_FAULTS = (Fault.ENDLESS_CHUNKS, Fault.SHED_LATE)
 _ENDLESS_FAULTS = (
     *(fault for fault in ENDLESS if fault not in _ODD_FAULTS),
@@ -95,6 +96,7 @@
     Fault.SHED_UNNAMED,
     *_ENDLESS_FAULTS,
     *_ODD_FAULTS,
+    *_STATUS_FAULTS,
 )
 _RUNNER_FAULTS = tuple(
     fault
--- a/tests/test_direct_processes.py
+++ b/tests/test_direct_processes.py
@@ -133,6 +133,8 @@
             Fault.ERROR: ((500, 2), (500, 1)),
             Fault.RESET: ((502, 2), (502, 1)),
             Fault.RUBBISH: ((502, 2), (502, 1)),
+            Fault.STATUS_000: ((502, 2), (502, 1)),
+            Fault.STATUS_600: ((502, 2), (502, 1)),
             Fault.SHORT: ((502, 2), (502, 1)),
             Fault.UNSEALED: ((502, 2), (502, 1)),
             Fault.NO_LENGTH: ((200, 1), (200, 1)),
