Bound what the kernel holds of an answer that is not read

While a caller reads its stream slowly, the entry reads nothing from the upstream, and the kernel took in 115,200 bytes of each such stream, which is memory of the host (test_the_kernel_holds_little_of_an_answer_that_is_not_read, failed before the fix). Connections of the pool now have a receive buffer of 32 KiB, of which the kernel makes 64 KiB at most; it passes. Connections to the store keep the default, as their answers are long and are read at once.

--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_pool.py
@@ -7,6 +7,7 @@
 from nutmegslip_runtime.http1 import ClientConnection, HeldBodies
 
 CONNECT_TIMEOUT_MS = 400  # a round trip takes a few ms; a failed host never answers
+RECEIVE_BUFFER_BYTES = 32_768  # of a stream whose caller reads slowly, unread
 UNSTATED_IDLE_MS = 4_000  # most upstreams close idle connections after 5 s or more
 MAX_IDLE_MS = 60_000  # a host may vanish without closing its connections
 IDLE_MARGIN_MS = 1_500  # a stated timeout may be rounded up, and a request is late
@@ -53,6 +54,7 @@
             max(timeout_ms, 1) / 1_000,
             self._clock,
             self.held_bodies,
+            RECEIVE_BUFFER_BYTES,
         )
 
     def release(self, upstream: Upstream, connection: ClientConnection) -> int:
--- a/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
+++ b/packages/nutmegslip-runtime/src/nutmegslip_runtime/http1/_connection.py
@@ -110,8 +110,13 @@
         timeout_s: float,
         clock: Callable[[], int],
         held_bodies: HeldBodies | None = None,
+        receive_buffer_bytes: int | None = None,
     ) -> "ClientConnection":
-        """Open a connection; raise NotConnected if that fails or times out."""
+        """Open a connection; raise NotConnected if that fails or times out.
+
+        The kernel holds up to twice ``receive_buffer_bytes`` that are not read yet, by
+        default as much as it likes.
+        """
         try:
             sock = gevent.socket.create_connection((host, port), timeout_s)
         except ConnectionRefusedError as error:
@@ -119,6 +124,8 @@
         except OSError as error:
             raise NotConnected(f"{host}:{port}: {error}") from error
         configure_socket(sock)
+        if receive_buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         return cls(sock, clock, held_bodies)
 
     @property
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -1,8 +1,11 @@
 """Tests of kept connections to upstreams, without a network where possible."""
 
 import unittest
+from contextlib import suppress
+from pathlib import Path
 from types import SimpleNamespace
 
+import gevent
 from gevent.server import StreamServer
 from immutables import Map
 from nutmegslip_platform._ranks import HttpRankClient
@@ -103,6 +106,16 @@
                 self.assertEqual(max_idle_connections(state, "model"), expected)
 
 
+def unread_bytes_from(port: int) -> int:
+    """Return the bytes from a port of this host that the kernel holds unread."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(
+        int(queues.rpartition(":")[2], 16)
+        for _, _, remote, _, queues, *_ in rows
+        if int(remote.rpartition(":")[2], 16) == port
+    )
+
+
 class PoolTests(unittest.TestCase):
     """Connections are kept for as long as the upstream says."""
 
@@ -158,6 +171,24 @@
         self.assertEqual(self.accepted, 3)
         self.assertEqual((self.pool.opened, self.pool.reused), (3, 2))
 
+    def test_the_kernel_holds_little_of_an_answer_that_is_not_read(self):
+        """Guard against streams whose callers read slowly: each held over 100 KiB."""
+
+        def answer_endlessly(accepted, _peer):
+            accepted.settimeout(0.5)
+            with suppress(TimeoutError):
+                while True:
+                    accepted.send(b"x" * 4_096)
+
+        server = StreamServer(("127.0.0.1", 0), answer_endlessly)
+        server.start()
+        self.addCleanup(server.stop)
+        unread = upstream("m2", port=server.server_port)
+        connection = self.pool.acquire(unread, boottime_ms() + 400, fresh=True)
+        self.addCleanup(connection.close)
+        gevent.sleep(1.0)
+        self.assertIn(unread_bytes_from(server.server_port), range(1, 65_537))
+
 
 class OrderTests(unittest.TestCase):
     """Guard against a copy of an older answer that confirms an order."""
