Let crowds of clients send unfinished requests in the soak

The soak did not know clients that ignore the limits. A crowd is 40 connections to an entry, each with 2 MiB but one byte, half of them in chunks, that stay for 0.5 to 4 s; it overlaps with signals and all other faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
     steps: int = STEPS,
     entries: int = ENTRIES,
     hedge_share: float = 0.0,
+    crowds: int = 2,
     production: str = "",
 ) -> int:
     """Run seeds one after the other, or several at once; print each result.
@@ -30,6 +31,7 @@
     :param steps: number of faults for each seed
     :param entries: number of entry processes for each seed
     :param hedge_share: the limit on second attempts of slow requests, 0 for none
+    :param crowds: crowds of clients that send unfinished requests, for each seed
     :param production: the commit of the build that is upgraded meanwhile, if any
     """
     checkout = checkout_of(production) if production else None
@@ -37,12 +39,14 @@
     if jobs > 1:
         options = ["--steps", str(steps), "--entries", str(entries)]
         options += ["--hedge-share", str(hedge_share), "--production", production]
+        options += ["--crowds", str(crowds)]
         codes: list[int] = []
         while batch := list(islice(numbers, jobs)):
             codes += _run_parallel(batch, options)
         return max(codes)
     return max(
-        _run_one(number, steps, entries, hedge_share, checkout) for number in numbers
+        _run_one(number, steps, entries, hedge_share, crowds, checkout)
+        for number in numbers
     )
 
 
@@ -61,6 +65,7 @@
     steps: int,
     entries: int,
     hedge_share: float,
+    crowds: int,
     production: pathlib.Path | None,
 ) -> int:
     outcome = run(
@@ -68,6 +73,7 @@
         steps=steps,
         entries=entries,
         hedge_share=hedge_share,
+        crowds=crowds,
         production=production,
     )
     total = sum(outcome.statuses.values())
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -25,6 +25,7 @@
     ENTRIES,
     Step,
     plan,
+    plan_crowds,
     plan_endless,
     plan_limits,
     plan_notices,
@@ -63,6 +64,7 @@
     steps: int = STEPS,
     entries: int = ENTRIES,
     hedge_share: float = 0.0,
+    crowds: int = 0,
     production: pathlib.Path | None = None,
 ) -> Outcome:
     """Run one seed to its end and return the outcome.
@@ -76,6 +78,7 @@
         *plan_restarts(seed, entries, DURATION_S),
         *plan_limits(seed, steps // LIMIT_INTERVAL),
         *plan_odd(seed, steps // ODD_INTERVAL, DURATION_S),
+        *plan_crowds(seed, crowds, DURATION_S),
         *(plan_upgrade(seed, entries) if production else ()),
     )
     return run_steps(
@@ -160,7 +163,8 @@
     requests = find_request_violations(history, site.ends_ms())
     shared = (*find_excess_retries(history), *find_excess_over_limits(history))
     notices = find_ignored_notices(history)
-    return dict.fromkeys((*found, *notices, *prompts, *requests, *shared))
+    memory = site.memory_violations()
+    return dict.fromkeys((*found, *notices, *prompts, *requests, *shared, *memory))
 
 
 def _failed_final_requests(callers: Callers, site: SoakSite) -> list[str]:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -32,6 +32,7 @@
     LIMIT = "limit"  # a runner names a limit, then a smaller one, then none
     RESTORE = "restore"  # the store returns from a copy as old as the step is long
     ODD_ENTRY = "odd-entry"  # another writer leaves an entry that names no runner
+    CROWD = "crowd"  # clients of an entry send unfinished requests, and stay
     UPGRADE = "upgrade"  # SIGTERM, and a process of the variant's build
 
 
@@ -78,7 +79,13 @@
 _WEIGHTS = {Action.RUNNER: 5, Action.LINK: 3, Action.REPLACE: 2}
 # Drawn apart from the others, so that the schedules of earlier seeds stay the same.
 _NOTICES = (Action.LEAVE, Action.PAUSE, Action.RESTORE)
-_PLANNED_APART = (*_NOTICES, Action.LIMIT, Action.ODD_ENTRY, Action.UPGRADE)
+_PLANNED_APART = (
+    *_NOTICES,
+    Action.LIMIT,
+    Action.ODD_ENTRY,
+    Action.CROWD,
+    Action.UPGRADE,
+)
 _OTHERS = tuple(action for action in Action if action not in _PLANNED_APART)
 _STATUS_FAULTS = (Fault.STATUS_000, Fault.STATUS_600)
 _ODD_FAULTS = (Fault.ENDLESS_CHUNKS, Fault.SHED_LATE)
@@ -200,6 +207,31 @@
     return (*entries, *faults)
 
 
+def plan_crowds(seed: int, crowds: int, length_s: float) -> tuple[Step, ...]:
+    """Return steps with crowds of clients and odd statuses of runners."""
+    rng = Random(f"{seed}-crowds")
+    clients = tuple(
+        Step(
+            rng.uniform(0.2, length_s),
+            Action.CROWD,
+            rng.randrange(ENTRIES),
+            rng.uniform(0.5, 4.0),
+        )
+        for _ in range(crowds)
+    )
+    statuses = tuple(
+        Step(
+            rng.uniform(0.2, length_s),
+            Action.RUNNER,
+            rng.randrange(RUNNERS),
+            rng.uniform(0.2, _MAX_DURATION_S[Action.RUNNER]),
+            str(rng.choice(_STATUS_FAULTS)),
+        )
+        for _ in range(crowds)
+    )
+    return (*clients, *statuses)
+
+
 def plan_upgrade(seed: int, entries: int) -> tuple[Step, ...]:
     """Return the replacement of all entries, one after the other, by the new build.
 
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -15,6 +15,7 @@
 from fakes.store import StoreServer
 from nutmegslip_runtime.clock import boottime_ms
 from nutmegslip_runtime.http1 import HttpRequest
+from soak._crowds import BODY_BYTES, HOST_LIMITS, memory_violation, send_crowd
 from soak._guarantees import EVENTS_PER_STREAM
 from soak._notices import DRAIN_S, Disturbance
 from soak._odd_entries import ODD_ENTRIES
@@ -72,6 +73,7 @@
                 seeds=ips[:3],
                 retries=RETRIES,
                 hedge_share=hedge_share,
+                host_limits=HOST_LIMITS,
                 root=production,
             )
             for ip, link in zip(ips, stores, strict=True)
@@ -142,6 +144,8 @@
                 self.store.history.put(key, ODD_ENTRIES[int(step.variant)])
                 gevent.sleep(step.duration_s)
                 self.store.history.remove(key)
+            case Action.CROWD:
+                send_crowd(self.entries[step.target], step.duration_s)
             case Action.UPGRADE:
                 entry = self.entries[step.target]
                 entry.root = self._builds[Build(step.variant)]
@@ -176,6 +180,11 @@
             for request in runner.requests
         ]
 
+    def memory_violations(self) -> list[str]:
+        """Return the entries of this build that take more than their hosts allow."""
+        entries = [entry for entry in self.entries if entry.root == ROOT]
+        return [text for text in map(memory_violation, entries) if text]
+
     def crash_on(self, part: str) -> None:
         """Make each runner, also later ones, crash on a part of a prompt."""
         self._crashing_part = part
@@ -327,7 +336,9 @@
             make_route("verses", "model", "streaming", resumable=True, gapTargetMs=120),
             make_route(f"extra{version}", "board", "idempotent"),
         )
-        self._write("op/config", make_configuration(version, *routes))
+        configuration = make_configuration(version, *routes)
+        configuration["limits"]["bodyBytes"] = BODY_BYTES
+        self._write("op/config", configuration)
 
     def _freeze(self, entry: EntryProcess, duration_s: float) -> None:
         with self._disturbing(entry.ip):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -69,6 +69,15 @@
         outcome = run_steps(SHORT_SEED, (*lost, *killed))
         self.assertEqual(outcome.violations, ())
 
+    def test_entries_stay_within_their_memory_while_crowds_send(self):
+        """Guard against the sum of requests that each stay within their own limit."""
+        crowds = [Step(0.5 + n, Action.CROWD, n % 3, 3.0) for n in range(6)]
+        signals = (Action.STOP, Action.FREEZE, Action.KILL)
+        disturbed = [Step(1.2 + n, signals[n], n, 0.5) for n in range(3)]
+        statuses = [Step(0.5, Action.RUNNER, 0, 3.0, Fault.STATUS_000)]
+        outcome = run_steps(SHORT_SEED, (*crowds, *disturbed, *statuses))
+        self.assertEqual(outcome.violations, ())
+
     def test_limits_that_runners_name_while_entries_restart(self):
         """Guard against a limit that each entry, or each process, spends anew."""
         limits = [Step(0.5, Action.LIMIT, target, 16.0, "2.0") for target in (0, 3)]
