Let callers be refused also after a request, and name the limits once

A caller that had sent a whole request and the start of another could be refused neither for memory nor for connections until more of the other arrived, as the connection was marked only when bytes came in. It is marked after each request too.

--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/__init__.py
@@ -2,6 +2,7 @@
 
 from nutmegslip_decisions.direct._budget import RetryBudget, retry_budget
 from nutmegslip_decisions.direct._caller_limits import (
+    CallerLimit,
     CallerLimits,
     Holding,
     HostLimits,
@@ -118,6 +119,7 @@
     "AttemptFailed",
     "Blame",
     "Broken",
+    "CallerLimit",
     "CallerLimits",
     "CallerRequest",
     "CancelAttempt",
--- a/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_caller_limits.py
+++ b/packages/nutmegslip-decisions/src/nutmegslip_decisions/direct/_caller_limits.py
@@ -2,12 +2,13 @@
 
 Answers the load pattern in which many callers send long requests at once, pause before
 the end of a request, or do not read their answers. Who holds the most bytes for the
-longest time without progress is refused first, so a caller that sends a short request,
-or a long one without a pause, is served while the others wait for nothing. Connections
-beyond the limit take the place of the one that has been idle for the longest time.
+longest time without progress is refused first, so that a caller that sends a short
+request, or a long one without a pause, is served. Connections beyond the limit take the
+place of the one that has been idle for the longest time.
 """
 
 from collections.abc import Iterable
+from enum import StrEnum
 from itertools import accumulate
 from typing import NamedTuple
 
@@ -17,10 +18,17 @@
 RESERVED_DESCRIPTORS = 200  # the host keeps them for files
 HELD_SHARE = 1 / 6  # of the memory, for requests and answers
 CONNECTIONS_SHARE = 1 / 4  # of the memory
-CONNECTION_BYTES = 32_768  # objects take 12 KB; the kernel holds 32 KiB of a few unread
+CONNECTION_BYTES = 32_768  # 12 KB of objects, and what the kernel holds unread
 MIN_CONNECTIONS = 16
 
 
+class CallerLimit(StrEnum):
+    """A limit on what all callers together may take."""
+
+    MEMORY = "memory"
+    CONNECTIONS = "connections"
+
+
 class HostLimits(NamedTuple):
     """What the host allows the process."""
 
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_caller_connections.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_caller_connections.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from nutmegslip_decisions.direct import (
+    CallerLimit,
     CallerLimits,
     Holding,
     connection_to_close,
@@ -11,9 +12,7 @@
 )
 from nutmegslip_runtime.http1 import HeldBodies, HeldBytes
 
-SMALL_ANSWER_SHARE = (
-    1 / 32
-)  # of all bodies; many small ones must not exceed a low limit
+SMALL_ANSWER_SHARE = 1 / 32  # of all bodies, as many come at once
 MAX_SMALL_ANSWER_BYTES = 1_048_576
 
 
@@ -37,14 +36,14 @@
 class CallerConnections:
     """The open connections of callers, and the bytes held for them.
 
-    ``on_refused`` is told why a connection was ended: "memory" or "connections".
+    ``on_refused`` is told for which limit a connection is ended.
     """
 
     def __init__(
         self,
         limits: CallerLimits,
         clock: Callable[[], int],
-        on_refused: Callable[[str], None],
+        on_refused: Callable[[CallerLimit], None],
     ) -> None:
         self._limits = limits
         self._clock = clock
@@ -77,20 +76,20 @@
         connection.held.resize(0)
 
     def allow_refusal(self, connection: Refusable, allowed: bool) -> None:
-        """Set whether a connection can be given up: nothing of it is at an upstream."""
+        """Set whether what a connection holds can be given up at any time."""
         if allowed:
             self._refusable[id(connection)] = connection
         else:
             self._refusable.pop(id(connection), None)
 
-    def report(self, reason: str) -> None:
+    def report(self, limit: CallerLimit) -> None:
         """Report that a connection has ended itself for a limit."""
-        self._on_refused(reason)
+        self._on_refused(limit)
 
     def _replace_one(self, new: Refusable) -> None:
         idle = (_holding(c) for c in self._open.values() if not c.is_busy)
         chosen = connection_to_close(idle, map(_holding, self._refusable.values()))
-        self._on_refused("connections")
+        self._on_refused(CallerLimit.CONNECTIONS)
         replaced = new if chosen is None else self._open.pop(chosen.key)
         self._refusable.pop(id(replaced), None)
         replaced.disconnect()
@@ -104,7 +103,7 @@
         for holding in holdings_to_refuse(holdings, excess_bytes, self._clock()):
             connection = self._refusable.pop(holding.key)
             connection.give_up()
-            self._on_refused("memory")
+            self._on_refused(CallerLimit.MEMORY)
 
 
 def _holding(connection: Refusable) -> Holding:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_callers.py
@@ -10,7 +10,7 @@
 from gevent.server import StreamServer
 from gevent.socket import wait_read
 
-from nutmegslip_decisions.direct import RequestLimits
+from nutmegslip_decisions.direct import CallerLimit, RequestLimits
 from nutmegslip_entry.direct._caller_connections import CallerConnections
 from nutmegslip_runtime.http1 import (
     LAST_CHUNK,
@@ -219,6 +219,7 @@
                 self.idle = True
                 self._served_bytes = 0
                 self.progressed_ms = self._clock()
+                self._connections.allow_refusal(self, self._reader.is_unfinished)
                 self._update_held()
                 if caller.close_after or self._is_stopping():
                     break
@@ -362,7 +363,7 @@
         self._update_held()
         is_long = self.held.is_over_share(SMALL_REQUEST_BYTES)
         if is_long or self._connections.bodies.is_exhausted:
-            self._connections.report("memory")
+            self._connections.report(CallerLimit.MEMORY)
             raise RequestFault(503, "the requests of all callers take too much memory")
 
     def _update_held(self) -> None:
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_exchange.py
@@ -25,7 +25,7 @@
     Upstream,
     should_move,
 )
-from nutmegslip_entry.direct._callers import Caller
+from nutmegslip_entry.direct._callers import JOINED_SEND_BYTES, Caller
 from nutmegslip_entry.direct._header_codec import (
     AnswerFields,
     CallerFields,
@@ -56,7 +56,6 @@
 SEND_STALL_TIMEOUT_S = 1.0  # the attempt fails if the upstream reads nothing
 REJECTION_BODY_TIMEOUT_MS = 250  # the head has said already what matters
 REJECTION_BODY_BYTES = 65_536
-JOINED_SEND_BYTES = 65_536  # a longer body is sent after the head, not copied to it
 MAX_OTHER_ANSWERS = 8  # late ones, before the answer to a request
 FIRST_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_metrics.py
@@ -8,7 +8,13 @@
     ProcessCollector,
 )
 
-from nutmegslip_decisions.direct import State, hedge_limit, open_share, retry_budget
+from nutmegslip_decisions.direct import (
+    CallerLimit,
+    State,
+    hedge_limit,
+    open_share,
+    retry_budget,
+)
 from nutmegslip_decisions.model import Millis
 from nutmegslip_entry.direct._pool import Pool
 
@@ -175,9 +181,9 @@
         self._held_body_bytes.set(pool.held_bodies.held_bytes)
         self._refused_bodies.set(pool.held_bodies.refused)
 
-    def count_refused_caller(self, limit: str) -> None:
+    def count_refused_caller(self, limit: CallerLimit) -> None:
         """Count a connection of a caller that was ended for a limit."""
-        self._refused_callers.labels(limit).inc()
+        self._refused_callers.labels(str(limit)).inc()
 
     def update_callers(self, connections: int) -> None:
         """Set how many connections of callers are open."""
--- a/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
+++ b/packages/nutmegslip-entry/src/nutmegslip_entry/direct/_program.py
@@ -15,6 +15,7 @@
 
 from nutmegslip_decisions import direct
 from nutmegslip_decisions.direct import (
+    CallerLimit,
     CallerLimits,
     Event,
     OptionsChanged,
@@ -222,11 +223,11 @@
         server.start()
         return server
 
-    def _report_refused_caller(self, reason: str) -> None:
-        self._metrics.count_refused_caller(reason)
+    def _report_refused_caller(self, limit: CallerLimit) -> None:
+        self._metrics.count_refused_caller(limit)
         self._log.emit(
             "caller-refused",
-            reason=reason,
+            reason=str(limit),
             held_bytes=self._connections.bodies.held_bytes,
             connections=len(self._connections),
         )
--- a/tests/direct_crowd.py
+++ b/tests/direct_crowd.py
@@ -146,12 +146,12 @@
         super().close()
 
 
-def announced_refusal(limit_bytes: int, request_id: str) -> bytes:
+def head_far_over_limit(limit_bytes: int, request_id: str) -> bytes:
     """Return the head of a request whose body is far over a limit."""
     return with_length("/lookups/1", 256 * limit_bytes, request_id)
 
 
-def encode_small_head(header_count: int, request_id: str) -> bytes:
+def head_of_short_headers(header_count: int, request_id: str) -> bytes:
     """Return the start of a head with many of the shortest headers."""
     start = head("/lookups/1", request_id=request_id)[: -len(b"\r\n")]
     return start + b"a:\r\n" * header_count
@@ -166,10 +166,10 @@
     "PIECE_BYTES",
     "Client",
     "CrowdSite",
-    "announced_refusal",
     "chunks",
-    "encode_small_head",
     "head",
+    "head_far_over_limit",
+    "head_of_short_headers",
     "split",
     "with_chunks",
     "with_length",
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -5,6 +5,7 @@
 from nutmegslip_decisions import direct
 from nutmegslip_decisions.direct import (
     Account,
+    CallerLimit,
     CallerRequest,
     Configuration,
     ConfigurationPublished,
@@ -155,6 +156,6 @@
 
 def caller_connections() -> CallerConnections:
     """Return the connections of an entry on a host of the usual size."""
-    refusals: list[str] = []
+    refusals: list[CallerLimit] = []
     limits = caller_limits(HostLimits())
     return CallerConnections(limits, boottime_ms, refusals.append)
--- a/tests/test_direct_crowds.py
+++ b/tests/test_direct_crowds.py
@@ -22,10 +22,10 @@
     PIECE_BYTES,
     Client,
     CrowdSite,
-    announced_refusal,
     chunks,
-    encode_small_head,
     head,
+    head_far_over_limit,
+    head_of_short_headers,
     split,
     with_chunks,
     with_length,
@@ -136,7 +136,7 @@
         pieces = list(repeat(b"x" * PIECE_BYTES, FAR_OVER_PIECES))
         self.crowd(
             CLIENTS,
-            lambda name: Client(chain([announced_refusal(BODY_BYTES, name)], pieces)),
+            lambda name: Client(chain([head_far_over_limit(BODY_BYTES, name)], pieces)),
         )
         self.assert_bounded()
 
@@ -180,7 +180,9 @@
 
     def test_unfinished_heads_of_many_short_headers(self):
         count = HEADER_BYTES // len(b"a:\r\n") - 100
-        self.crowd(MANY_CLIENTS, lambda name: Client([encode_small_head(count, name)]))
+        self.crowd(
+            MANY_CLIENTS, lambda name: Client([head_of_short_headers(count, name)])
+        )
         self.assert_bounded()
 
     def test_chunk_extensions_without_end(self):
